--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+# Tasks of the repository. CONFIG names the configuration that `make run` starts with.
+CONFIG ?= $(GW_CONFIG)
+
+.PHONY: build test lint run
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all -- --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+run: build
+	target/release/reedwalk serve --config $(CONFIG)
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,7 +1,6 @@
 //! Speaks the bench's wire on standard input and output; each instance is a [`Gateway`] of its own.
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
 use cairnwharf::*;
@@ -78,19 +77,7 @@
 }
 
 fn load(report: wire::Report) -> LoadReport {
-    let read = |name: &str| report.get(name).copied();
-    LoadReport {
-        queue: read("queue"),
-        cpu: read("util"),
-        memory: read("x0"),
-        disk: read("x1"),
-        in_flight: read("inflight"),
-    }
-}
-
-/// A key's text as a number: FNV-1a, so that nothing need be kept for it.
-fn key(text: &str) -> KeyId {
-    KeyId(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)))
+    reedwalk_settings::load_report(|name| report.get(name).copied())
 }
 
 #[derive(Default)]
@@ -160,7 +147,7 @@
                 return Ok(None);
             }
             In::Spawn { controller_id, seed, boot_info } => {
-                let settings = settings::read(boot_info)?;
+                let settings = reedwalk_settings::read(boot_info).map_err(|e| e.to_string())?.core;
                 let instance = Instance {
                     gateway: Gateway::new(settings, *seed).map_err(|e| e.to_string())?,
                     events: Vec::new(),
@@ -222,7 +209,7 @@
                 request: instance.arrival(handle),
                 class: ClassId(service),
                 tenant: TenantId(customer),
-                key: text.as_deref().map(key),
+                key: text.as_deref().map(|k| reedwalk_settings::key(k.as_bytes())),
                 group: source_set.map(|g| GroupId(g as u64)),
                 patience: Duration::from_micros(patience_left_us.max(0) as u64),
                 work: estimate_us.filter(|e| *e > 0.0).map(span),
--- /dev/null
+++ b/gateway/src/broker/message.rs
@@ -0,0 +1,180 @@
+//! What passes between the broker, the fronts and the engine links. No wire appears here.
+
+use bytes::Bytes;
+use cairnwharf::{Bill, ClassId, EngineEntry, EngineId, LoadReport, Note, Outcome, RequestId};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// A whole result: rows of text cells, in the engine's order. `None` is NULL.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rows {
+    /// Cells in a row.
+    pub columns: usize,
+    /// All cells, row by row.
+    pub cells: Vec<Option<Bytes>>,
+}
+
+impl Rows {
+    /// The rows, in order.
+    pub fn iter(&self) -> impl Iterator<Item = &[Option<Bytes>]> {
+        self.cells.chunks(self.columns.max(1))
+    }
+}
+
+/// Why a request was refused; a further try is harmless.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Refusal {
+    /// The decision module turned it away.
+    Busy,
+    /// The broker's tables or its queue are full.
+    Shed,
+    /// Its team has spent its budget for this window.
+    Budget,
+    /// Its team's contract does not cover the class.
+    Contract,
+}
+
+/// Why a request failed; its effect is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Failure {
+    /// The engines could not serve it.
+    Engine,
+    /// Its time ran out.
+    Deadline,
+}
+
+/// The one final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The whole result.
+    Served(Rows),
+    /// Refused, and when the client may come back.
+    Refused {
+        /// Why.
+        why: Refusal,
+        /// How long the client is asked to stay away.
+        retry_after: Option<Duration>,
+    },
+    /// Failed.
+    Failed(Failure),
+}
+
+/// A request, as a front hands it in.
+#[derive(Debug)]
+pub struct Ask {
+    /// The client's id of this try, passed on unchanged.
+    pub trace: Bytes,
+    /// Its class.
+    pub class: ClassId,
+    /// The team whose contract covers it, if known.
+    pub team: Option<Arc<str>>,
+    /// When the client stops waiting.
+    pub deadline: Instant,
+    /// The client has tried before.
+    pub repeated: bool,
+    /// Idempotency key, passed on unchanged.
+    pub nonce: Option<Bytes>,
+    /// Estimate of its work on one core.
+    pub work: Option<Duration>,
+    /// Estimate of its memory in MB.
+    pub memory_mb: Option<f64>,
+    /// Group of tables that it reads or writes.
+    pub group: Option<u64>,
+    /// The statement.
+    pub statement: Bytes,
+}
+
+/// Names one attempt, over all requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptKey(pub u64);
+
+/// An attempt that an engine link is to start.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Which attempt.
+    pub key: AttemptKey,
+    /// Where.
+    pub engine: EngineId,
+    /// The request's id.
+    pub trace: Bytes,
+    /// Its class.
+    pub class: ClassId,
+    /// When the wait for it ends.
+    pub deadline: Instant,
+    /// Idempotency key.
+    pub nonce: Option<Bytes>,
+    /// Memory granted in MB; none leaves it to the engine.
+    pub memory_mb: Option<f64>,
+    /// Priority, 0 to 3.
+    pub priority: u8,
+    /// The statement.
+    pub statement: Bytes,
+}
+
+/// How an attempt ended, as a link tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct End {
+    /// How.
+    pub outcome: Outcome,
+    /// What it cost, if told.
+    pub bill: Option<Bill>,
+    /// The engine's load, if told.
+    pub load: Option<LoadReport>,
+    /// The result, where it was served.
+    pub rows: Option<Rows>,
+}
+
+impl From<Outcome> for End {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, bill: None, load: None, rows: None }
+    }
+}
+
+/// News of an attempt.
+#[derive(Clone, Debug)]
+pub enum News {
+    /// It runs on.
+    Noted(Note),
+    /// It has ended.
+    Ended(End),
+}
+
+/// One engine as the names tell it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// For the decision module.
+    pub entry: EngineEntry,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// All that reaches the broker's queue.
+#[derive(Debug)]
+pub enum Input {
+    /// A request, and where its answer goes.
+    Arrival(RequestId, Box<Ask>, oneshot::Sender<Answer>),
+    /// Its client waits no more.
+    Left(RequestId),
+    /// News of an attempt.
+    News(AttemptKey, News),
+    /// Changed entries of the list of engines.
+    Engines(Vec<Listed>),
+}
+
+/// Starts and stops attempts at the engines. Nothing here waits: what comes of an attempt reaches the broker
+/// through its queue, as [`Input::News`].
+pub trait EngineLinks: Send {
+    /// Takes in where an engine listens; `None` when it is gone.
+    fn place(&mut self, engine: EngineId, address: Option<SocketAddr>);
+    /// Starts an attempt; `false` if it was not sent and never will be.
+    fn start(&mut self, order: Order, now: Instant) -> bool;
+    /// Gives an attempt up. No news of it is wanted any more.
+    fn stop(&mut self, key: AttemptKey);
+    /// Changes its priority.
+    fn boost(&mut self, key: AttemptKey, priority: u8);
+    /// The attempt has ended by itself; its place is free.
+    fn over(&mut self, key: AttemptKey);
+}
--- /dev/null
+++ b/gateway/src/broker/mod.rs
@@ -0,0 +1,387 @@
+//! The core that knows no wire. One task owns the decision module: it takes events from a bounded queue,
+//! steps the module in batches, carries out its actions through the engine links, and owns the tables of
+//! requests and attempts. A request's reply channel is taken out of its table to answer it, so there is one
+//! final answer and never a second.
+
+mod desk;
+mod message;
+
+pub use desk::{Desk, Ticket};
+pub use message::*;
+
+use cairnwharf::{
+    Action, Arrival, AttemptNo, Ended, EngineId, EngineState, Event, Gateway, GroupId, ListScope, Outcome,
+    RequestId, Time,
+};
+use slog::{Logger, debug, info, warn};
+use std::collections::{BTreeSet, HashMap};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+/// Inputs that wait for the broker at most.
+pub const QUEUE: usize = 4096;
+/// Inputs that one step takes in at most.
+const BATCH: usize = 256;
+/// Requests that the tables hold at most: what the memory limit leaves room for, results included.
+const OPEN_MOST: usize = 1024;
+/// The module answers at the deadline; where it has not by then, the broker does, still inside the slack.
+const OVERDUE: Duration = Duration::from_millis(8);
+
+struct Open {
+    ask: Ask,
+    reply: Option<oneshot::Sender<Answer>>,
+    attempts: u32,
+    out: Vec<(AttemptNo, AttemptKey)>,
+    memory_mb: Option<f64>,
+    priority: u8,
+}
+
+struct Out {
+    request: RequestId,
+    number: AttemptNo,
+    engine: EngineId,
+    deadline: Instant,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Attempt(AttemptKey),
+    Request(RequestId),
+}
+
+/// Counts of what the broker has done, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Requests taken.
+    pub taken: u64,
+    /// Answered with rows.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Left by their clients.
+    pub left: u64,
+    /// Attempts sent.
+    pub sent: u64,
+}
+
+/// The one owner of the decision module.
+pub struct Broker<L> {
+    gateway: Gateway,
+    links: L,
+    log: Logger,
+    open: HashMap<RequestId, Open>,
+    attempts: HashMap<AttemptKey, Out>,
+    due: BTreeSet<(Instant, Due)>,
+    next_key: u64,
+    open_cap: usize,
+    max_attempts: u32,
+    retry_after: Option<Duration>,
+    wake: Option<Instant>,
+    /// The module's clock: microseconds of the Unix clock at the start, and the instant of that.
+    epoch: (u64, Instant),
+    pending: Vec<Event>,
+    tally: Tally,
+    told: (Instant, Tally),
+}
+
+impl<L: EngineLinks> Broker<L> {
+    /// A broker around a module and the links to its engines.
+    pub fn new(
+        gateway: Gateway,
+        links: L,
+        limits: &cairnwharf::Limits,
+        open_cap: usize,
+        log: Logger,
+    ) -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let now = Instant::now();
+        Self {
+            gateway,
+            links,
+            log,
+            open: HashMap::new(),
+            attempts: HashMap::new(),
+            due: BTreeSet::new(),
+            next_key: 0,
+            open_cap: open_cap.min(OPEN_MOST),
+            max_attempts: limits.max_attempts,
+            retry_after: limits.max_retry_after,
+            wake: Some(now),
+            epoch: (unix.as_micros() as u64, now),
+            pending: Vec::new(),
+            tally: Tally::default(),
+            told: (now, Tally::default()),
+        }
+    }
+
+    /// Runs until all senders of its queue are gone.
+    pub async fn run(mut self, mut queue: mpsc::Receiver<Input>) {
+        let mut batch = Vec::with_capacity(BATCH);
+        loop {
+            let next = self.due.first().map(|d| d.0).into_iter().chain(self.wake).min();
+            let idle = Instant::now() + Duration::from_secs(1);
+            tokio::select! {
+                taken = queue.recv_many(&mut batch, BATCH) => if taken == 0 { return },
+                () = sleep_until(next.unwrap_or(idle)) => {}
+            }
+            let now = Instant::now();
+            for input in batch.drain(..) {
+                self.take(input, now);
+            }
+            self.expire(now);
+            self.step(now);
+        }
+    }
+
+    fn time(&self, now: Instant) -> Time {
+        Time(self.epoch.0 + now.saturating_duration_since(self.epoch.1).as_micros() as u64)
+    }
+
+    fn take(&mut self, input: Input, now: Instant) {
+        match input {
+            Input::Arrival(id, ask, reply) => self.arrive(id, *ask, reply, now),
+            Input::Left(id) => self.left(id),
+            Input::News(key, News::Noted(note)) => {
+                if let Some(out) = self.attempts.get(&key) {
+                    self.pending.push(Event::Noted { request: out.request, attempt: out.number, note });
+                }
+            }
+            Input::News(key, News::Ended(end)) => {
+                // Late answers of attempts that were given up find no entry, and are dropped.
+                if self.attempts.contains_key(&key) {
+                    self.links.over(key);
+                    self.ended(key, end);
+                }
+            }
+            Input::Engines(listed) => {
+                for one in &listed {
+                    let gone = one.entry.state == EngineState::Gone;
+                    self.links.place(one.entry.engine, (!gone).then_some(one.address));
+                }
+                let entries = listed.into_iter().map(|l| l.entry).collect();
+                self.pending.push(Event::Engines { scope: ListScope::Changes, entries });
+            }
+        }
+    }
+
+    fn arrive(&mut self, id: RequestId, ask: Ask, reply: oneshot::Sender<Answer>, now: Instant) {
+        self.tally.taken += 1;
+        if self.open.len() >= self.open_cap {
+            self.tally.refused += 1;
+            let _ = reply.send(Answer::Refused { why: Refusal::Shed, retry_after: self.retry_after });
+            return;
+        }
+        self.pending.push(Event::Arrival(Arrival {
+            request: id,
+            class: ask.class,
+            tenant: Default::default(),
+            key: ask.nonce.as_deref().map(reedwalk_settings::key),
+            group: ask.group.map(GroupId),
+            patience: ask.deadline.saturating_duration_since(now),
+            work: ask.work,
+            memory_mb: ask.memory_mb,
+            repeated: ask.repeated,
+        }));
+        self.due.insert((ask.deadline + OVERDUE, Due::Request(id)));
+        let reply = Some(reply);
+        self.open.insert(id, Open { ask, reply, attempts: 0, out: Vec::new(), memory_mb: None, priority: 1 });
+    }
+
+    fn left(&mut self, id: RequestId) {
+        if self.open.get_mut(&id).is_some_and(|o| o.reply.take().is_some()) {
+            self.tally.left += 1;
+            self.pending.push(Event::Left(id));
+            self.settle(id);
+        }
+    }
+
+    /// An attempt's end: answers its client where it was served, and tells the module.
+    fn ended(&mut self, key: AttemptKey, end: End) {
+        let Some(out) = self.attempts.remove(&key) else { return };
+        self.due.remove(&(out.deadline, Due::Attempt(key)));
+        let mut closed = true;
+        if let Some(open) = self.open.get_mut(&out.request) {
+            open.out.retain(|o| o.1 != key);
+            closed = open.reply.is_none();
+        }
+        if let (Outcome::Ok, Some(rows)) = (end.outcome, end.rows) {
+            self.answer(out.request, Answer::Served(rows));
+            closed = true;
+        }
+        self.pending.push(Event::Ended(Ended {
+            request: out.request,
+            attempt: out.number,
+            outcome: end.outcome,
+            closed,
+            bill: end.bill,
+            load: end.load,
+        }));
+        debug!(self.log, "ended"; "engine" => out.engine.0, "outcome" => ?end.outcome, "closed" => closed);
+        self.settle(out.request);
+    }
+
+    /// Gives a request its final answer, if it has had none.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(reply) = self.open.get_mut(&id).and_then(|o| o.reply.take()) else { return };
+        match &answer {
+            Answer::Served(_) => self.tally.served += 1,
+            Answer::Refused { .. } => self.tally.refused += 1,
+            Answer::Failed(_) => self.tally.failed += 1,
+        }
+        // A client that has just left takes no answer; nothing is owed to it.
+        let _ = reply.send(answer);
+    }
+
+    /// Forgets a request that is answered and has nothing out.
+    fn settle(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|o| o.reply.is_none() && o.out.is_empty())
+            && let Some(open) = self.open.remove(&id)
+        {
+            self.due.remove(&(open.ask.deadline + OVERDUE, Due::Request(id)));
+        }
+    }
+
+    /// Attempts and requests whose time is over, and clients that have gone without a word.
+    fn expire(&mut self, now: Instant) {
+        while let Some(&(at, due)) = self.due.first().filter(|d| d.0 <= now) {
+            self.due.remove(&(at, due));
+            match due {
+                Due::Attempt(key) => {
+                    self.links.stop(key);
+                    self.ended(key, Outcome::TimedOut.into());
+                }
+                Due::Request(id) => {
+                    if self.open.get(&id).is_some_and(|o| o.reply.is_some()) {
+                        self.answer(id, Answer::Failed(Failure::Deadline));
+                        self.pending.push(Event::Left(id));
+                        self.settle(id);
+                    }
+                }
+            }
+        }
+        if self.wake.is_some_and(|w| w <= now) {
+            self.wake = None;
+            self.pending.push(Event::Woken);
+            let gone = |o: &Open| o.reply.as_ref().is_some_and(oneshot::Sender::is_closed);
+            let gone: Vec<_> = self.open.iter().filter(|o| gone(o.1)).map(|o| *o.0).collect();
+            gone.into_iter().for_each(|id| self.left(id));
+            self.report(now);
+        }
+    }
+
+    /// Steps the module until nothing follows from its actions any more.
+    fn step(&mut self, now: Instant) {
+        let mut actions = Vec::new();
+        loop {
+            let events = std::mem::take(&mut self.pending);
+            self.gateway.step(self.time(now), &events, &mut actions);
+            let mut moot = Vec::new();
+            for action in actions.drain(..) {
+                self.carry_out(action, now, &mut moot);
+            }
+            for (request, attempt) in moot {
+                let closed = self.open.get(&request).is_none_or(|o| o.reply.is_none());
+                let (outcome, bill, load) = (Outcome::Moot, None, None);
+                self.pending.push(Event::Ended(Ended { request, attempt, outcome, closed, bill, load }));
+            }
+            if self.pending.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action, now: Instant, moot: &mut Vec<(RequestId, AttemptNo)>) {
+        match action {
+            Action::Send { request, engine, timeout } => {
+                // The one place where a duration of the module becomes an instant.
+                let until = timeout.map(|t| now + t);
+                if let Err(number) = self.send(request, engine, until, now) {
+                    moot.push((request, number));
+                }
+            }
+            Action::Cancel { request, attempt } => {
+                let out = self.open.get(&request).and_then(|o| o.out.iter().find(|o| o.0 == attempt));
+                if let Some(&(_, key)) = out {
+                    self.links.stop(key);
+                    self.ended(key, Outcome::Cancelled.into());
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                self.answer(request, Answer::Refused { why: Refusal::Busy, retry_after });
+                self.settle(request);
+            }
+            Action::Fail { request } => {
+                let late = self.open.get(&request).is_some_and(|o| o.ask.deadline <= now);
+                let why = if late { Failure::Deadline } else { Failure::Engine };
+                self.answer(request, Answer::Failed(why));
+                self.settle(request);
+            }
+            Action::Terms { request, memory_mb, priority } => {
+                let Some(open) = self.open.get_mut(&request) else { return };
+                let changed = open.priority != priority;
+                (open.memory_mb, open.priority) = (memory_mb, priority);
+                for (_, key) in open.out.iter().filter(|_| changed) {
+                    self.links.boost(*key, priority);
+                }
+            }
+            Action::Wake(after) => self.wake = Some(now + after),
+            Action::Log(line) => info!(self.log, "module"; "says" => line),
+            // Engines may not be probed here, and the names are asked for whether the module does or not.
+            Action::Probe(engine) => warn!(self.log, "probe not allowed"; "engine" => engine.0),
+            Action::Subscribe => {}
+        }
+    }
+
+    fn send(
+        &mut self,
+        id: RequestId,
+        engine: EngineId,
+        until: Option<Instant>,
+        now: Instant,
+    ) -> Result<(), AttemptNo> {
+        let Some(open) = self.open.get_mut(&id) else { return Err(AttemptNo(0)) };
+        let number = AttemptNo(open.attempts);
+        open.attempts += 1;
+        if open.reply.is_none() || open.ask.deadline <= now || number.0 >= self.max_attempts {
+            return Err(number);
+        }
+        let key = AttemptKey(self.next_key);
+        self.next_key += 1;
+        let deadline = until.map_or(open.ask.deadline, |u| u.min(open.ask.deadline));
+        let order = Order {
+            key,
+            engine,
+            trace: open.ask.trace.clone(),
+            class: open.ask.class,
+            deadline,
+            nonce: open.ask.nonce.clone(),
+            memory_mb: open.memory_mb,
+            priority: open.priority,
+            statement: open.ask.statement.clone(),
+        };
+        if !self.links.start(order, now) {
+            return Err(number);
+        }
+        open.out.push((number, key));
+        self.attempts.insert(key, Out { request: id, number, engine, deadline });
+        self.due.insert((deadline, Due::Attempt(key)));
+        self.tally.sent += 1;
+        Ok(())
+    }
+
+    /// A line of counts, every second in which something was taken or answered.
+    fn report(&mut self, now: Instant) {
+        if now - self.told.0 >= Duration::from_secs(1) {
+            if self.told.1 != self.tally {
+                let t = self.tally;
+                info!(self.log, "tally"; "taken" => t.taken, "served" => t.served, "refused" => t.refused,
+                    "failed" => t.failed, "left" => t.left, "sent" => t.sent, "open" => self.open.len(),
+                    "out" => self.attempts.len());
+            }
+            self.told = (now, self.tally);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/config.rs
@@ -0,0 +1,106 @@
+//! What a front end is told at its start: `GW_CONFIG`, and `GW_NAME` and `GW_LISTEN` beside it.
+
+use reedwalk_settings::{Deployment, ReadError};
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Why a start failed.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// `GW_CONFIG` is not set.
+    NoFile,
+    /// The file could not be read.
+    Unreadable(PathBuf, std::io::Error),
+    /// It is not the JSON that is expected.
+    Malformed(PathBuf, serde_json::Error),
+    /// Its settings are not.
+    Settings(ReadError),
+    /// Its seed is no hexadecimal number.
+    Seed,
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoFile => write!(f, "GW_CONFIG names no file"),
+            Self::Unreadable(path, error) => write!(f, "{}: {error}", path.display()),
+            Self::Malformed(path, error) => write!(f, "{}: {error}", path.display()),
+            Self::Settings(error) => write!(f, "{error}"),
+            Self::Seed => write!(f, "seed: no hexadecimal number"),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+#[derive(Deserialize)]
+struct Wire {
+    #[serde(default)]
+    name: String,
+    listen: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    names: Option<SocketAddr>,
+    known: Option<serde_json::Value>,
+    settings: serde_json::Value,
+}
+
+/// What the platform allows the process.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    /// Share of a core.
+    pub cores: f64,
+    /// Memory in MB.
+    pub memory_mb: f64,
+    /// File descriptors.
+    pub sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { cores: 1.0, memory_mb: 192.0, sockets: 1024 }
+    }
+}
+
+/// All that a front end is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// What the platform allows.
+    pub limits: Limits,
+    /// Where the name server listens.
+    pub names: Option<SocketAddr>,
+    /// The name server's events up to now.
+    pub known: Option<serde_json::Value>,
+    /// The settings object, read.
+    pub deployment: Deployment,
+}
+
+/// Reads a configuration file; a name or an address from the environment go before what it says.
+///
+/// # Errors
+/// Says what is wrong with it.
+pub fn read(path: &Path, name: Option<String>, listen: Option<SocketAddr>) -> Result<Config, ConfigError> {
+    let text = std::fs::read(path).map_err(|e| ConfigError::Unreadable(path.into(), e))?;
+    let wire: Wire = serde_json::from_slice(&text).map_err(|e| ConfigError::Malformed(path.into(), e))?;
+    let seed = if wire.seed.is_empty() { "0" } else { &wire.seed };
+    Ok(Config {
+        name: name.unwrap_or(wire.name),
+        listen: listen.unwrap_or(wire.listen),
+        seed: u64::from_str_radix(seed, 16).map_err(|_| ConfigError::Seed)?,
+        limits: wire.limits,
+        names: wire.names,
+        known: wire.known,
+        deployment: reedwalk_settings::read(&wire.settings).map_err(ConfigError::Settings)?,
+    })
+}
--- /dev/null
+++ b/gateway/src/engine/mod.rs
@@ -0,0 +1,3 @@
+//! Links to the engines.
+
+pub mod resp;
--- /dev/null
+++ b/gateway/src/engine/resp/wire.rs
@@ -0,0 +1,212 @@
+//! The engines' wire: RESP arrays of bulk strings, their fields and pages. Pure functions over bytes.
+
+use crate::broker::{Order, Rows};
+use bytes::{Bytes, BytesMut};
+use cairnwharf::{Bill, LoadReport, Note};
+use std::fmt;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Words in an array, and bytes in a word, at most.
+const WORDS_MOST: usize = 16;
+const WORD_MOST: usize = 256 * 1024;
+/// Bytes of a length line at most.
+const LINE_MOST: usize = 16;
+/// Columns of a result, and pages that 48,000 bytes may fill with some room.
+const COLUMNS: usize = 3;
+/// Pages of one result at most.
+pub const PAGES_MOST: u32 = 64;
+/// Bytes of one result at most.
+pub const RESULT_MOST: usize = 48_000;
+
+/// Bytes that are no answer; the connection can't be read any further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadAnswer(pub &'static str);
+
+impl fmt::Display for BadAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "bad answer: {}", self.0)
+    }
+}
+
+impl std::error::Error for BadAnswer {}
+
+/// Reads a `*N` or `$N` line: the number and the bytes it took. `None` if it has not all come.
+fn length(bytes: &[u8], mark: u8, most: usize) -> Result<Option<(usize, usize)>, BadAnswer> {
+    match bytes.first() {
+        None => return Ok(None),
+        Some(&b) if b != mark => return Err(BadAnswer("unexpected type")),
+        Some(_) => {}
+    }
+    let Some(end) = bytes.iter().take(LINE_MOST).position(|b| *b == b'\n') else {
+        return if bytes.len() >= LINE_MOST { Err(BadAnswer("endless length")) } else { Ok(None) };
+    };
+    let digits = bytes[1..end].strip_suffix(b"\r").ok_or(BadAnswer("no CR"))?;
+    let number = std::str::from_utf8(digits).ok().filter(|d| d.bytes().all(|b| b.is_ascii_digit()));
+    let number = number.and_then(|d| d.parse().ok()).filter(|n| *n <= most).ok_or(BadAnswer("bad length"))?;
+    Ok(Some((number, end + 1)))
+}
+
+/// Takes the next whole array off the front of `buffer`; `None` if it has not all come.
+///
+/// # Errors
+/// Where the bytes are no array of bulk strings.
+pub fn take_array(buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, BadAnswer> {
+    let Some((count, mut at)) = length(buffer, b'*', WORDS_MOST)? else { return Ok(None) };
+    let mut spans = [(0, 0); WORDS_MOST];
+    for span in spans.iter_mut().take(count) {
+        let Some((size, head)) = length(&buffer[at..], b'$', WORD_MOST)? else { return Ok(None) };
+        let start = at + head;
+        match buffer.get(start + size..start + size + 2) {
+            Some(b"\r\n") => {}
+            Some(_) => return Err(BadAnswer("word not ended")),
+            None => return Ok(None),
+        }
+        *span = (start, start + size);
+        at = start + size + 2;
+    }
+    let whole = buffer.split_to(at).freeze();
+    Ok(Some(spans[..count].iter().map(|s| whole.slice(s.0..s.1)).collect()))
+}
+
+/// Writes an array of bulk strings.
+pub fn put_array(out: &mut BytesMut, words: &[&[u8]]) {
+    out.extend_from_slice(format!("*{}\r\n", words.len()).as_bytes());
+    for word in words {
+        out.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
+        out.extend_from_slice(word);
+        out.extend_from_slice(b"\r\n");
+    }
+}
+
+/// Writes the command that starts an attempt.
+pub fn put_order(out: &mut BytesMut, order: &Order, lane: &str, now: Instant) {
+    let ttl = order.deadline.saturating_duration_since(now).as_millis();
+    let mut fields = format!("lane={lane},ttl={ttl},band={}", order.priority);
+    if let Some(memory) = order.memory_mb.filter(|m| *m > 0.0) {
+        fields.push_str(&format!(",pool={}", memory.ceil()));
+    }
+    let mut fields = fields.into_bytes();
+    if let Some(nonce) = &order.nonce {
+        fields.extend_from_slice(b",dedupe=");
+        fields.extend_from_slice(nonce);
+    }
+    put_array(out, &[b"PULL", &order.trace, &fields, &order.statement]);
+}
+
+/// The word of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    /// Served: the first page.
+    Ok,
+    /// Turned away unseen.
+    Full,
+    /// Failed; it may have run.
+    Error,
+    /// Over before it began.
+    Over,
+    /// A note on what still runs.
+    Status,
+    /// A further page.
+    Chunk,
+    /// The connection works.
+    Alive,
+}
+
+/// One answer, with the fields that are known.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// The id that it answers.
+    pub id: Bytes,
+    /// What it says.
+    pub word: Word,
+    /// Number of all pages.
+    pub pages: u32,
+    /// Number of this page.
+    pub page: u32,
+    /// What the query had cost.
+    pub bill: Option<Bill>,
+    /// The engine's load.
+    pub load: Option<LoadReport>,
+    /// A note, where it holds one.
+    pub note: Option<Note>,
+    /// The page.
+    pub body: Bytes,
+}
+
+/// Reads an answer from its words.
+///
+/// # Errors
+/// Where it is none that the protocol knows.
+pub fn read_reply(words: Vec<Bytes>) -> Result<Reply, BadAnswer> {
+    let mut words = words.into_iter();
+    let (Some(id), Some(word)) = (words.next(), words.next()) else { return Err(BadAnswer("too short")) };
+    let word = match &word[..] {
+        b"200" => Word::Ok,
+        b"503" => Word::Full,
+        b"500" => Word::Error,
+        b"504" => Word::Over,
+        b"status" => Word::Status,
+        b"chunk" => Word::Chunk,
+        b"alive" => Word::Alive,
+        _ => return Err(BadAnswer("unknown word")),
+    };
+    let fields = words.next().unwrap_or_default();
+    let body = words.next().unwrap_or_default();
+    let fields = std::str::from_utf8(&fields).map_err(|_| BadAnswer("fields are no text"))?;
+    let find =
+        |name: &str| fields.split(',').find_map(|f| f.split_once('=').filter(|f| f.0 == name)).map(|f| f.1);
+    let number = |name: &str| find(name).and_then(|v| v.parse::<f64>().ok()).filter(|v| v.is_finite());
+    let value = number("datum");
+    let note = match (find("why"), value) {
+        (Some("pct"), Some(done)) => Some(Note::Progress(done)),
+        (Some("overflow"), Some(missing)) => Some(Note::Spills(missing)),
+        (Some("queued"), Some(2.0)) => Some(Note::WaitsForLoad),
+        (Some("queued"), Some(_)) => Some(Note::WaitsForMemory),
+        _ => None,
+    };
+    let load = find("rep").map(|rep| {
+        reedwalk_settings::load_report(|name| {
+            let found = rep.split(';').find_map(|f| f.split_once(':').filter(|f| f.0 == name));
+            found.and_then(|f| f.1.parse().ok()).filter(|v: &f64| v.is_finite())
+        })
+    });
+    let bill = number("elapsed").filter(|ms| *ms >= 0.0).map(|ms| Bill {
+        work: Duration::from_micros((ms * 1000.0).min(1e15) as u64),
+        memory_mb: number("rss").unwrap_or(0.0).max(0.0),
+    });
+    Ok(Reply {
+        id,
+        word,
+        pages: number("total").map_or(1, |n| n.clamp(1.0, f64::from(u32::MAX)) as u32),
+        page: number("index").map_or(0, |n| n.clamp(0.0, f64::from(u32::MAX)) as u32),
+        bill,
+        load,
+        note,
+        body,
+    })
+}
+
+/// Adds a page's rows to a result.
+///
+/// # Errors
+/// Where it does not hold whole rows of three columns.
+pub fn read_page(page: &Bytes, rows: &mut Rows) -> Result<(), BadAnswer> {
+    rows.columns = COLUMNS;
+    let mut start = 0;
+    let mut column = 1;
+    for (at, byte) in page.iter().enumerate() {
+        let ends_row = match byte {
+            b'\t' => false,
+            b'\n' => true,
+            _ => continue,
+        };
+        if ends_row != (column == COLUMNS) {
+            return Err(BadAnswer("a row has not three columns"));
+        }
+        rows.cells.push(Some(page.slice(start..at)));
+        column = if ends_row { 1 } else { column + 1 };
+        start = at + 1;
+    }
+    if start == page.len() && column == 1 { Ok(()) } else { Err(BadAnswer("a row is cut")) }
+}
--- /dev/null
+++ b/gateway/src/front/mod.rs
@@ -0,0 +1,3 @@
+//! Fronts: where clients connect.
+
+pub mod mysql;
--- /dev/null
+++ b/gateway/src/front/mysql/session.rs
@@ -0,0 +1,225 @@
+//! One client session: greeting, login, then commands one at a time.
+
+use super::Front;
+use super::packet::{self, BadFraming, Command, Writer};
+use super::statement::{self, BadFields};
+use crate::broker::{Answer, Ask, Failure, Refusal, Ticket};
+use crate::shutdown::{Phase, closing};
+use bytes::{Bytes, BytesMut};
+use cairnwharf::{ClassId, Effect};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+/// A client must have logged in by then.
+const LOGIN_BY: Duration = Duration::from_secs(10);
+/// A client that does not read its answer is let go this long after its deadline.
+const READ_BY: Duration = Duration::from_secs(2);
+/// Longest wait of a client that is believed.
+const PATIENCE_MOST: Duration = Duration::from_secs(600);
+/// Bytes that a client may send ahead while its query runs; the rest stays in the socket.
+const AHEAD_MOST: usize = 512 * 1024;
+
+/// Why a session ended.
+enum Closed {
+    /// The client closed, or its connection broke.
+    ByClient,
+    /// Bytes that can't be read.
+    Framing(BadFraming),
+    /// We close: no login in time, answer not read, or the program ends.
+    ByUs,
+}
+
+pub struct Session<'a> {
+    front: &'a Front,
+    stream: TcpStream,
+    id: u32,
+    input: BytesMut,
+    out: BytesMut,
+}
+
+impl<'a> Session<'a> {
+    pub fn new(front: &'a Front, stream: TcpStream, id: u32) -> Self {
+        Self { front, stream, id, input: BytesMut::new(), out: BytesMut::new() }
+    }
+
+    pub async fn run(mut self, mut phase: watch::Receiver<Phase>) {
+        if let Err(Closed::Framing(bad)) = self.converse(&mut phase).await {
+            Writer::new(&mut self.out, 1).error(1156, b"08S01", &bad.to_string());
+            let by = Instant::now() + READ_BY;
+            let _ = self.flush(by).await;
+        }
+    }
+
+    async fn converse(&mut self, phase: &mut watch::Receiver<Phase>) -> Result<(), Closed> {
+        let by = Instant::now() + LOGIN_BY;
+        let scramble = scramble(self.front.seed, self.id);
+        Writer::new(&mut self.out, 0).greeting(self.id, scramble);
+        self.flush(by).await?;
+        let login = loop {
+            if let Some(packet) = packet::take_packet(&mut self.input, 1).map_err(Closed::Framing)? {
+                break packet::read_login(packet).map_err(Closed::Framing)?;
+            }
+            timeout_at(by, self.fill()).await.map_err(|_| Closed::ByUs)??;
+        };
+        if !login.empty_password || &login.user[..] != b"app" {
+            Writer::new(&mut self.out, 2).error(1045, b"28000", "access denied");
+            return self.flush(by).await;
+        }
+        Writer::new(&mut self.out, 2).ok();
+        self.flush(by).await?;
+        loop {
+            let packet = loop {
+                if let Some(packet) = packet::take_packet(&mut self.input, 0).map_err(Closed::Framing)? {
+                    break packet;
+                }
+                let idle = self.input.is_empty();
+                tokio::select! {
+                    biased;
+                    read = self.stream.read_buf(&mut self.input) => {
+                        if !matches!(read, Ok(n) if n > 0) {
+                            return Err(Closed::ByClient);
+                        }
+                    }
+                    () = closing(phase), if idle => return Ok(()),
+                }
+            };
+            match packet::read_command(packet).map_err(Closed::Framing)? {
+                Command::Query(text) => self.query(text).await?,
+                Command::Quit => return Ok(()),
+                Command::Ping | Command::UseDatabase => Writer::new(&mut self.out, 1).ok(),
+                Command::Unknown(number) => {
+                    let text = format!("unknown command {number}");
+                    Writer::new(&mut self.out, 1).error(1047, b"08S01", &text);
+                }
+            }
+            self.flush(Instant::now() + READ_BY).await?;
+        }
+    }
+
+    async fn query(&mut self, text: Bytes) -> Result<(), Closed> {
+        let now = Instant::now();
+        if let Some(target) = statement::kill_query(&text) {
+            // Whether it still ran or not, the client learns of it on its own session.
+            if let Some(kill) = self.front.running.leave(target) {
+                let _ = kill.send(());
+            }
+            Writer::new(&mut self.out, 1).ok();
+            return Ok(());
+        }
+        let ask = match self.ask(&text, now) {
+            Ok(ask) => ask,
+            Err(bad) => {
+                Writer::new(&mut self.out, 1).error(1064, b"42000", &bad.to_string());
+                return Ok(());
+            }
+        };
+        let deadline = ask.deadline;
+        let mut ticket = match self.front.desk.ask(ask) {
+            Ok(ticket) => ticket,
+            Err(refused) => {
+                write_answer(&mut self.out, refused);
+                return Ok(());
+            }
+        };
+        let answer = self.wait(&mut ticket).await;
+        self.front.running.leave(self.id);
+        match answer? {
+            Some(answer) => write_answer(&mut self.out, answer),
+            None => Writer::new(&mut self.out, 1).error(1317, b"70100", "query execution was interrupted"),
+        }
+        self.flush(deadline.max(now) + READ_BY).await
+    }
+
+    /// Waits for the answer; `None` if the query was killed. A client that closes meanwhile has left.
+    async fn wait(&mut self, ticket: &mut Ticket) -> Result<Option<Answer>, Closed> {
+        let mut killed = self.front.running.enter(self.id);
+        loop {
+            let room = self.input.len() < AHEAD_MOST;
+            tokio::select! {
+                biased;
+                answer = ticket.answer() => return answer.map(Some).ok_or(Closed::ByUs),
+                kill = &mut killed => if kill.is_ok() { return Ok(None) },
+                read = self.stream.read_buf(&mut self.input), if room => {
+                    if !matches!(read, Ok(n) if n > 0) {
+                        return Err(Closed::ByClient);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads a statement and its fields into a request, its deadline counted from `now`.
+    fn ask(&self, text: &Bytes, now: Instant) -> Result<Ask, BadFields> {
+        let (fields, statement) = statement::take_fields(text)?;
+        let sockets = &self.front.deployment.sockets;
+        let Some(class) = sockets.classes.iter().position(|c| *c == fields.route) else {
+            return Err(BadFields::NoSuchClass(fields.route));
+        };
+        let keyed = matches!(self.front.deployment.core.classes[class].effect, Effect::Keyed { .. });
+        if keyed && fields.nonce.is_none() {
+            // Without its key a repeat would have a second effect.
+            return Err(BadFields::Absent("nonce"));
+        }
+        let patience = Duration::from_millis(fields.patience_ms).min(PATIENCE_MOST);
+        Ok(Ask {
+            trace: fields.trace.into(),
+            class: ClassId(class),
+            team: None,
+            deadline: now + patience,
+            repeated: fields.redo,
+            nonce: fields.nonce.map(Bytes::from),
+            work: fields.weight_ms.map(|ms| Duration::from_micros((ms * 1000.0).min(1e15) as u64)),
+            memory_mb: fields.space_mb,
+            group: statement::group(&statement),
+            statement,
+        })
+    }
+
+    async fn fill(&mut self) -> Result<(), Closed> {
+        match self.stream.read_buf(&mut self.input).await {
+            Ok(n) if n > 0 => Ok(()),
+            _ => Err(Closed::ByClient),
+        }
+    }
+
+    async fn flush(&mut self, by: Instant) -> Result<(), Closed> {
+        if !self.out.is_empty() {
+            let written = timeout_at(by, self.stream.write_all(&self.out)).await;
+            self.out.clear();
+            written.map_err(|_| Closed::ByUs)?.map_err(|_| Closed::ByClient)?;
+        }
+        Ok(())
+    }
+}
+
+/// Twenty bytes without NUL; the password is empty, so nothing rests on them.
+fn scramble(seed: u64, id: u32) -> [u8; 20] {
+    let mut state = seed ^ u64::from(id).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    std::array::from_fn(|_| {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        33 + ((state >> 33) % 94) as u8
+    })
+}
+
+/// Writes the final answer. Refusals bear codes that clients take for "try again", failures any other.
+fn write_answer(out: &mut BytesMut, answer: Answer) {
+    let mut writer = Writer::new(out, 1);
+    match answer {
+        Answer::Served(rows) => writer.rows(&rows),
+        Answer::Refused { why, retry_after } => {
+            let (code, state, text) = match why {
+                Refusal::Busy => (1203, b"42000", "all engines are busy"),
+                Refusal::Shed => (1040, b"08004", "too many requests are open"),
+                Refusal::Budget => (1226, b"42000", "the team's budget for this window is spent"),
+                Refusal::Contract => (1226, b"42000", "the team's contract does not cover this class"),
+            };
+            let pause = retry_after.map_or(String::new(), |r| format!(", pause={}", r.as_millis()));
+            writer.error(code, state, &format!("{text}{pause}"));
+        }
+        Answer::Failed(Failure::Engine) => writer.error(1105, b"HY000", "no engine could serve the query"),
+        Answer::Failed(Failure::Deadline) => writer.error(3024, b"HY000", "the query's time ran out"),
+    }
+}
--- /dev/null
+++ b/gateway/src/lib.rs
@@ -0,0 +1,11 @@
+//! The front end: a broker between clients and a pool of engines. `broker` is the core that knows no wire;
+//! beside it stand the fronts, the engine links, the names and what starts and ends the program.
+
+pub mod broker;
+pub mod cli;
+pub mod config;
+pub mod engine;
+pub mod front;
+pub mod names;
+pub mod serve;
+pub mod shutdown;
--- /dev/null
+++ b/gateway/src/main.rs
@@ -0,0 +1,7 @@
+//! The real front end.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    reedwalk_gateway::cli::main(std::env::args_os().skip(1).collect())
+}
--- /dev/null
+++ b/gateway/src/names/list.rs
@@ -0,0 +1,186 @@
+//! The list itself: engines by id, never by address, since a new engine may have the address of one that is
+//! gone. Changes come out of it; nothing goes in that is older than what it holds.
+
+use super::dns;
+use crate::broker::Listed;
+use cairnwharf::{CellId, EngineEntry, EngineId, EngineState, KindId, Time, ZoneId};
+use reedwalk_settings::Sockets;
+use serde::Deserialize;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+#[derive(Deserialize)]
+struct Known {
+    #[serde(default)]
+    seq: u32,
+    #[serde(default)]
+    results: Vec<Item>,
+}
+
+#[derive(Deserialize)]
+struct Item {
+    fleet: Option<Fleet>,
+}
+
+#[derive(Deserialize)]
+struct Fleet {
+    #[serde(default)]
+    full: bool,
+    #[serde(default)]
+    servers: Vec<Server>,
+}
+
+#[derive(Deserialize)]
+struct Server {
+    id: String,
+    addr: Option<SocketAddr>,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    cell: Option<u64>,
+    #[serde(default)]
+    state: String,
+    #[serde(default)]
+    started_ms: u64,
+}
+
+/// Engines as last told.
+#[derive(Debug)]
+pub struct Book {
+    sockets: Arc<Sockets>,
+    serial: u32,
+    ids: HashMap<String, EngineId>,
+    listed: BTreeMap<EngineId, Listed>,
+}
+
+/// Later in serial arithmetic (RFC 1982).
+fn later(a: u32, b: u32) -> bool {
+    a != b && a.wrapping_sub(b) < 1 << 31
+}
+
+impl Book {
+    /// An empty list.
+    pub fn new(sockets: Arc<Sockets>) -> Self {
+        Self { sockets, serial: 0, ids: HashMap::new(), listed: BTreeMap::new() }
+    }
+
+    /// Number of the last event taken in.
+    pub fn serial(&self) -> u32 {
+        self.serial
+    }
+
+    fn id(&mut self, name: &str) -> EngineId {
+        let next = EngineId(self.ids.len() as u32);
+        *self.ids.entry(name.to_owned()).or_insert(next)
+    }
+
+    fn place(names: &[String], name: &str) -> Option<usize> {
+        names.iter().position(|n| n == name)
+    }
+
+    /// Takes in the events known at the start, in order.
+    ///
+    /// # Errors
+    /// Where they are not of the form that is expected.
+    pub fn start(&mut self, known: &serde_json::Value) -> Result<Vec<Listed>, serde_json::Error> {
+        let known = Known::deserialize(known)?;
+        let mut changes = Vec::new();
+        for fleet in known.results.into_iter().filter_map(|i| i.fleet) {
+            let mut named = HashSet::new();
+            for server in fleet.servers {
+                let engine = self.id(&server.id);
+                named.insert(engine);
+                let address = server.addr.or(self.listed.get(&engine).map(|l| l.address));
+                let Some(address) = address else { continue };
+                let state = match server.state.as_str() {
+                    "in_service" => EngineState::InService,
+                    "terminating" => EngineState::Draining,
+                    _ => EngineState::Gone,
+                };
+                let entry = EngineEntry {
+                    engine,
+                    zone: Self::place(&self.sockets.zones, &server.zone).map(ZoneId),
+                    kind: Self::place(&self.sockets.kinds, &server.kind).map(KindId),
+                    cell: server.cell.map(CellId),
+                    state,
+                    started: started(server.started_ms),
+                };
+                self.change(Listed { entry, address }, &mut changes);
+            }
+            if fleet.full {
+                self.drop_others(&named, &mut changes);
+            }
+        }
+        self.serial = known.seq;
+        Ok(changes)
+    }
+
+    /// Takes in an answer of the name server: the whole list. One that is no later tells nothing new.
+    pub fn take(&mut self, answer: dns::Answer) -> Vec<Listed> {
+        let mut changes = Vec::new();
+        if !later(answer.serial, self.serial) {
+            return changes;
+        }
+        let mut named = HashSet::new();
+        let mut whole = true;
+        for host in answer.hosts {
+            let engine = self.id(&host.id);
+            named.insert(engine);
+            let before = self.listed.get(&engine);
+            let address = host.address.map(|a| SocketAddr::new(IpAddr::V4(a), host.port));
+            // An engine whose address has not come along stays as it was, and is looked at again.
+            let Some(address) = address.or(before.map(|b| b.address)) else {
+                whole = false;
+                continue;
+            };
+            let number = |name: &str| host.text.get(name).and_then(|v| v.parse::<u64>().ok());
+            let old = before.map(|b| &b.entry);
+            let kind = host.text.get("kind").and_then(|k| Self::place(&self.sockets.kinds, k)).map(KindId);
+            let entry = EngineEntry {
+                engine,
+                zone: Self::place(&self.sockets.zones, &host.zone).map(ZoneId),
+                kind: kind.or(old.and_then(|o| o.kind)),
+                cell: number("cell").map(CellId).or(old.and_then(|o| o.cell)),
+                state: if host.draining { EngineState::Draining } else { EngineState::InService },
+                started: number("started").map_or(old.and_then(|o| o.started), started),
+            };
+            self.change(Listed { entry, address }, &mut changes);
+        }
+        self.drop_others(&named, &mut changes);
+        if whole {
+            self.serial = answer.serial;
+        }
+        changes
+    }
+
+    fn change(&mut self, listed: Listed, changes: &mut Vec<Listed>) {
+        let engine = listed.entry.engine;
+        if self.listed.get(&engine) == Some(&listed) {
+            return;
+        }
+        if listed.entry.state == EngineState::Gone {
+            if self.listed.remove(&engine).is_none() {
+                return;
+            }
+        } else {
+            self.listed.insert(engine, listed.clone());
+        }
+        changes.retain(|c| c.entry.engine != engine);
+        changes.push(listed);
+    }
+
+    fn drop_others(&mut self, named: &HashSet<EngineId>, changes: &mut Vec<Listed>) {
+        let gone: Vec<_> =
+            self.listed.values().filter(|l| !named.contains(&l.entry.engine)).cloned().collect();
+        for mut listed in gone {
+            listed.entry.state = EngineState::Gone;
+            self.change(listed, changes);
+        }
+    }
+}
+
+fn started(unix_ms: u64) -> Option<Time> {
+    (unix_ms > 0).then(|| Time(unix_ms.saturating_mul(1000)))
+}
--- /dev/null
+++ b/gateway/tests/parsers.rs
@@ -0,0 +1,154 @@
+//! Parsers against random cuts of valid messages and random garbage, from fixed seeds.
+
+use bytes::{Bytes, BytesMut};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
+use reedwalk_gateway::broker::Rows;
+use reedwalk_gateway::engine::resp::wire::{put_array, read_page, read_reply, take_array};
+use reedwalk_gateway::front::mysql::packet::{Writer, read_command, read_login, take_packet};
+use reedwalk_gateway::front::mysql::statement::{group, kill_query, take_fields};
+
+fn seeded() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(20_261_201),
+        rng_algorithm: RngAlgorithm::ChaCha,
+        failure_persistence: None,
+        ..Config::with_cases(256)
+    }
+}
+
+/// Feeds `bytes` in the pieces that `cuts` make, and takes whole messages after each.
+fn pieces(bytes: &[u8], cuts: &[usize]) -> Vec<Vec<u8>> {
+    let mut at: Vec<_> = cuts.iter().map(|c| c % (bytes.len() + 1)).chain([0, bytes.len()]).collect();
+    at.sort_unstable();
+    at.windows(2).map(|w| bytes[w[0]..w[1]].to_vec()).collect()
+}
+
+proptest! {
+    #![proptest_config(seeded())]
+
+    #[test]
+    fn arrays_survive_any_cuts(
+        messages in prop::collection::vec(prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 1..5), 1..5),
+        cuts in prop::collection::vec(any::<usize>(), 0..12),
+    ) {
+        let mut sent = BytesMut::new();
+        for words in &messages {
+            put_array(&mut sent, &words.iter().map(Vec::as_slice).collect::<Vec<_>>());
+        }
+        let (mut buffer, mut got) = (BytesMut::new(), Vec::new());
+        for piece in pieces(&sent, &cuts) {
+            buffer.extend_from_slice(&piece);
+            while let Some(words) = take_array(&mut buffer).unwrap() {
+                got.push(words.iter().map(|w| w.to_vec()).collect::<Vec<_>>());
+            }
+        }
+        prop_assert_eq!(got, messages);
+        prop_assert!(buffer.is_empty());
+    }
+
+    #[test]
+    fn packets_survive_any_cuts(
+        statements in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..300), 1..5),
+        cuts in prop::collection::vec(any::<usize>(), 0..12),
+    ) {
+        let mut sent = BytesMut::new();
+        for statement in &statements {
+            sent.extend_from_slice(&(statement.len() as u32 + 1).to_le_bytes()[..3]);
+            sent.extend_from_slice(&[0, 3]);
+            sent.extend_from_slice(statement);
+        }
+        let (mut buffer, mut got) = (BytesMut::new(), Vec::new());
+        for piece in pieces(&sent, &cuts) {
+            buffer.extend_from_slice(&piece);
+            while let Some(packet) = take_packet(&mut buffer, 0).unwrap() {
+                got.push(packet[1..].to_vec());
+            }
+        }
+        prop_assert_eq!(got, statements);
+    }
+
+    #[test]
+    fn garbage_is_an_error_or_waited_for(garbage in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut buffer = BytesMut::from(&garbage[..]);
+        while let Ok(Some(words)) = take_array(&mut buffer) {
+            let _ = read_reply(words);
+        }
+        let bytes = Bytes::from(garbage.clone());
+        let _ = take_packet(&mut BytesMut::from(&garbage[..]), 0);
+        let _ = (read_login(bytes.clone()), read_command(bytes.clone()), take_fields(&bytes));
+        let _ = (group(&bytes), kill_query(&bytes), read_page(&bytes, &mut Rows::default()));
+        let _ = reedwalk_gateway::names::dns::read(&garbage, 7);
+    }
+
+    #[test]
+    fn text_near_sql_is_read_without_harm(text in "[/*'\"`#\\-a-z_0-9=,. \n]{0,80}") {
+        let bytes = Bytes::from(text);
+        let _ = (group(&bytes), kill_query(&bytes), take_fields(&bytes));
+    }
+
+    #[test]
+    fn pages_give_their_rows_in_order(cells in prop::collection::vec("[a-z0-9 ]{0,9}", 0..30)) {
+        let cells = &cells[..cells.len() / 3 * 3];
+        let page: String = cells.chunks(3).map(|row| row.join("\t") + "\n").collect();
+        let mut rows = Rows::default();
+        read_page(&Bytes::from(page.clone()), &mut rows).unwrap();
+        let got: Vec<_> = rows.cells.iter().map(|c| c.clone().unwrap().to_vec()).collect();
+        prop_assert_eq!(got, cells.iter().map(|c| c.clone().into_bytes()).collect::<Vec<_>>());
+        if !page.is_empty() {
+            let cut = Bytes::from(page).slice(..cells.len() / 3);
+            prop_assert!(cut.ends_with(b"\n") || read_page(&cut, &mut Rows::default()).is_err());
+        }
+    }
+}
+
+const FIELDS: &str = "route=report,trace=9b1f03aa5c7e2d41,patience=1500";
+
+#[test]
+fn only_the_fields_comment_is_taken_off() {
+    let take = |text: String| take_fields(&Bytes::from(text)).map(|t| t.1);
+    assert_eq!(take(format!("/* {FIELDS} */ SELECT /* x */ 1")).unwrap(), "SELECT /* x */ 1");
+    assert_eq!(take(format!(" /* a hint */ /*{FIELDS}*/SELECT 1 ")).unwrap(), "/* a hint */ SELECT 1 ");
+    assert!(take(format!("SELECT 1 /* {FIELDS} */")).is_err());
+    assert!(take("/* route=report,trace=xyz,patience=1 */ SELECT 1".into()).is_err());
+    assert!(take("/* route=report,trace=9b1f03aa5c7e2d41 */ SELECT 1".into()).is_err());
+}
+
+#[test]
+fn the_table_group_is_found_outside_strings_and_comments() {
+    let cases = [
+        ("SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day", Some(17)),
+        ("SELECT a FROM /* sales_3.x */ sales_4.orders", Some(4)),
+        ("SELECT 'from sales_3.x', a -- from sales_5.y\n FROM sales_4.orders", Some(4)),
+        ("INSERT INTO `sales_9`.`orders` SELECT * FROM staging.batch_12", Some(9)),
+        ("INSERT INTO staging.load_3 SELECT * FROM sales_8.orders", Some(8)),
+        ("SELECT o_1.day FROM sales_17.orders o_1", Some(17)),
+        ("SELECT 'it''s \\' FROM sales_1.t' FROM sales_2.t", Some(2)),
+        ("SELECT 1", None),
+        ("SELECT \"from sales_3.x\"", None),
+    ];
+    for (text, expected) in cases {
+        assert_eq!(group(text.as_bytes()), expected, "{text}");
+    }
+    assert_eq!(kill_query(b"KILL QUERY 41"), Some(41));
+    assert_eq!(kill_query(b"KILL 41"), None);
+}
+
+#[test]
+fn a_result_set_is_written_as_the_protocol_has_it() {
+    let cell = |text: &'static str| Some(Bytes::from(text));
+    let rows = Rows { columns: 3, cells: vec![cell("a"), None, cell("c")] };
+    let mut out = BytesMut::new();
+    Writer::new(&mut out, 1).rows(&rows);
+    let mut packets = Vec::new();
+    for sequence in 1.. {
+        match take_packet(&mut out, sequence).unwrap() {
+            Some(packet) => packets.push(packet),
+            None => break,
+        }
+    }
+    assert_eq!(packets.len(), 1 + 3 + 1 + 1 + 1);
+    assert_eq!(&packets[0][..], [3]);
+    assert_eq!(&packets[5][..], b"\x01a\xfb\x01c");
+    assert!([4, 6].iter().all(|p| packets[*p].starts_with(&[0xfe]) && packets[*p].len() == 5));
+}
--- a/benchlink/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,7 +1,12 @@
-//! The bench's settings object, read into the library's settings. Unknown keys are ignored.
+//! The settings object that a gateway is given at its start, read into the decision module's settings and
+//! the few figures that only sockets need. Unknown keys are ignored. The adapter and the gateway both read
+//! it here, so there is no second copy of it.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use cairnwharf::*;
 use serde::Deserialize;
+use std::fmt;
 use std::time::Duration;
 
 fn span(us: f64) -> Duration {
@@ -37,6 +42,10 @@
     specifics: Specifics,
     #[serde(default)]
     over_share_worth: Option<f64>,
+    #[serde(default)]
+    localities: Vec<String>,
+    #[serde(default)]
+    host_types: Vec<String>,
 }
 
 fn one() -> u32 {
@@ -46,6 +55,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Class {
+    #[serde(default)]
+    name: String,
     slo_us: f64,
     give_up_us: f64,
     #[serde(default)]
@@ -81,6 +92,10 @@
     max_attempts: Option<u32>,
     retry_after: bool,
     max_retry_after_us: f64,
+    connect_timeout_us: f64,
+    keepalive_us: f64,
+    multiplex: Option<usize>,
+    open_cap: Option<usize>,
 }
 
 #[derive(Default, Deserialize)]
@@ -112,9 +127,90 @@
     ram_of_kind_mb: Vec<f64>,
 }
 
+/// The settings object could not be read.
+#[derive(Debug)]
+pub struct ReadError(serde_json::Error);
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "BootInfo: {}", self.0)
+    }
+}
+
+impl std::error::Error for ReadError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        Some(&self.0)
+    }
+}
+
+/// Names, in the order of the numbers that the decision module knows, and what only sockets need.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sockets {
+    /// Names of the classes.
+    pub classes: Vec<String>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Names of the kinds of machine.
+    pub kinds: Vec<String>,
+    /// A connection to an engine that is not up by then has failed.
+    pub connect_within: Duration,
+    /// Connections idle for so long are closed.
+    pub keepalive: Duration,
+    /// Attempts that one connection carries.
+    pub multiplex: usize,
+    /// Requests that may be open at once.
+    pub open_cap: usize,
+}
+
+/// All that the settings object tells.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Deployment {
+    /// For the decision module.
+    pub core: Settings,
+    /// For the sockets around it.
+    pub sockets: Sockets,
+}
+
+/// An engine's load report, each value found by its name on the wire.
+pub fn load_report(read: impl Fn(&str) -> Option<f64>) -> LoadReport {
+    LoadReport {
+        queue: read("queue"),
+        cpu: read("util"),
+        memory: read("x0"),
+        disk: read("x1"),
+        in_flight: read("inflight"),
+    }
+}
+
+/// A key's text as a number: FNV-1a, so that nothing need be kept for it.
+pub fn key(text: &[u8]) -> KeyId {
+    KeyId(text.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3)))
+}
+
 /// Reads the object that comes with an instance's start.
-pub fn read(value: &serde_json::Value) -> Result<Settings, String> {
-    let wire: Wire = Wire::deserialize(value).map_err(|e| format!("BootInfo: {e}"))?;
+///
+/// # Errors
+/// Where it is not the object that the wire page describes.
+pub fn read(value: &serde_json::Value) -> Result<Deployment, ReadError> {
+    let wire = Wire::deserialize(value).map_err(ReadError)?;
+    Ok(Deployment { core: core(&wire), sockets: sockets(wire) })
+}
+
+fn sockets(wire: Wire) -> Sockets {
+    let limits = wire.limits;
+    let told = |us: f64, usual: Duration| if us > 0.0 { span(us) } else { usual };
+    Sockets {
+        classes: wire.request_classes.into_iter().map(|c| c.name).collect(),
+        zones: wire.localities,
+        kinds: wire.host_types,
+        connect_within: told(limits.connect_timeout_us, Duration::from_millis(250)),
+        keepalive: told(limits.keepalive_us, Duration::from_secs(15)),
+        multiplex: limits.multiplex.unwrap_or(1).max(1),
+        open_cap: limits.open_cap.unwrap_or(usize::MAX),
+    }
+}
+
+fn core(wire: &Wire) -> Settings {
     let own = &wire.specifics;
     let classes = wire.request_classes.iter().enumerate().map(|(i, c)| class(i, c, own)).collect();
     let kinds = own.size_cores.iter().enumerate().map(|(i, &cores)| KindSettings {
@@ -161,7 +257,7 @@
         notes_every: (own.progress_us > 0.0).then(|| span(own.progress_us)),
     };
     settings.over_share_worth = wire.over_share_worth.map_or(1.0, sound);
-    Ok(settings)
+    settings
 }
 
 fn class(place: usize, wire: &Class, own: &Specifics) -> ClassSettings {
