--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -3,7 +3,7 @@
 
 mod wire;
 
-use cairnwharf::*;
+use reedwalk_core::*;
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -341,13 +341,13 @@
             Ok(_) if line.trim().is_empty() => continue,
             Ok(_) => {}
             Err(error) => {
-                eprintln!("cairnwharf-benchlink: line {number}: {error}");
+                eprintln!("reedwalk-adapter: line {number}: {error}");
                 return ExitCode::FAILURE;
             }
         }
         reply.clear();
         if let Err(error) = link.answer(&line, &mut reply) {
-            eprintln!("cairnwharf-benchlink: line {number}: {error}");
+            eprintln!("reedwalk-adapter: line {number}: {error}");
             return ExitCode::FAILURE;
         }
         if output.write_all(&reply).and_then(|()| output.flush()).is_err() {
--- a/gateway/src/broker/desk.rs
+++ b/gateway/src/broker/desk.rs
@@ -1,7 +1,7 @@
 //! Where the fronts hand requests in.
 
 use super::message::{Answer, Ask, Input, Refusal};
-use cairnwharf::RequestId;
+use reedwalk_core::RequestId;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
--- a/gateway/src/broker/message.rs
+++ b/gateway/src/broker/message.rs
@@ -1,7 +1,7 @@
 //! What passes between the broker, the fronts and the engine links. No wire appears here.
 
 use bytes::Bytes;
-use cairnwharf::{Bill, ClassId, EngineEntry, EngineId, LoadReport, Note, Outcome, RequestId};
+use reedwalk_core::{Bill, ClassId, EngineEntry, EngineId, LoadReport, Note, Outcome, RequestId};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -9,7 +9,7 @@
 pub use desk::{Desk, Ticket};
 pub use message::*;
 
-use cairnwharf::{
+use reedwalk_core::{
     Action, Arrival, AttemptNo, Ended, EngineId, EngineState, Event, Gateway, GroupId, ListScope, Outcome,
     RequestId, Time,
 };
@@ -92,7 +92,7 @@
     pub fn new(
         gateway: Gateway,
         links: L,
-        limits: &cairnwharf::Limits,
+        limits: &reedwalk_core::Limits,
         open_cap: usize,
         log: Logger,
     ) -> Self {
--- a/gateway/src/cli.rs
+++ b/gateway/src/cli.rs
@@ -54,7 +54,7 @@
             let options = options(&mut args)?;
             finish(args)?;
             let config = load(&options)?;
-            cairnwharf::Gateway::new(config.deployment.core.clone(), config.seed)
+            reedwalk_core::Gateway::new(config.deployment.core.clone(), config.seed)
                 .map_err(|e| e.to_string())?;
             let classes = config.deployment.sockets.classes.join(", ");
             println!("{}: listens on {}, classes {classes}", config.name, config.listen);
--- a/gateway/src/engine/resp/connection.rs
+++ b/gateway/src/engine/resp/connection.rs
@@ -3,7 +3,7 @@
 use super::wire::{self, PAGES_MOST, RESULT_MOST, Reply, Word};
 use crate::broker::{AttemptKey, End, Input, News, Order, Rows};
 use bytes::{Buf, Bytes, BytesMut};
-use cairnwharf::Outcome;
+use reedwalk_core::Outcome;
 use reedwalk_settings::Sockets;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/gateway/src/engine/resp/mod.rs
+++ b/gateway/src/engine/resp/mod.rs
@@ -5,8 +5,8 @@
 
 use crate::broker::{AttemptKey, EngineLinks, Input, Order};
 use bytes::Bytes;
-use cairnwharf::EngineId;
 use connection::{Command, Heard};
+use reedwalk_core::EngineId;
 use reedwalk_settings::Sockets;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
--- a/gateway/src/engine/resp/wire.rs
+++ b/gateway/src/engine/resp/wire.rs
@@ -2,7 +2,7 @@
 
 use crate::broker::{Order, Rows};
 use bytes::{Bytes, BytesMut};
-use cairnwharf::{Bill, LoadReport, Note};
+use reedwalk_core::{Bill, LoadReport, Note};
 use std::fmt;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -6,7 +6,7 @@
 use crate::broker::{Answer, Ask, Failure, Refusal, Ticket};
 use crate::shutdown::{Phase, closing};
 use bytes::{Bytes, BytesMut};
-use cairnwharf::{ClassId, Effect};
+use reedwalk_core::{ClassId, Effect};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
--- a/gateway/src/names/list.rs
+++ b/gateway/src/names/list.rs
@@ -3,7 +3,7 @@
 
 use super::dns;
 use crate::broker::Listed;
-use cairnwharf::{CellId, EngineEntry, EngineId, EngineState, KindId, Time, ZoneId};
+use reedwalk_core::{CellId, EngineEntry, EngineId, EngineState, KindId, Time, ZoneId};
 use reedwalk_settings::Sockets;
 use serde::Deserialize;
 use std::collections::{BTreeMap, HashMap, HashSet};
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::front::mysql::Front;
 use crate::names::{self, list::Book};
 use crate::shutdown::{self, Phase};
-use cairnwharf::Gateway;
+use reedwalk_core::Gateway;
 use slog::{Logger, info, o};
 use std::fmt;
 use std::sync::Arc;
@@ -21,7 +21,7 @@
     /// The listening address could not be taken, or another call to the system failed.
     Io(&'static str, std::io::Error),
     /// The settings make no sense.
-    Settings(cairnwharf::SettingsError),
+    Settings(reedwalk_core::SettingsError),
     /// The list of the start can't be read.
     Known(serde_json::Error),
 }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -4,7 +4,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-use cairnwharf::*;
+use reedwalk_core::*;
 use serde::Deserialize;
 use std::fmt;
 use std::time::Duration;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! out the [`Action`]s that come back; the same settings, seed and events always give the same actions.
 //!
 //! ```
-//! use cairnwharf::*;
+//! use reedwalk_core::*;
 //! use std::time::Duration;
 //!
 //! let class = ClassSettings::new(Duration::from_millis(300), Duration::from_millis(1500));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! The one fixture of the tests: a gateway, its clock, and what it did.
 #![allow(dead_code)]
 
-use cairnwharf::*;
+use reedwalk_core::*;
 use std::time::Duration;
 
 pub fn ms(ms: u64) -> Duration {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use cairnwharf::*;
 use common::*;
+use reedwalk_core::*;
 
 /// Serves a steady trickle for a while: `act` says how an attempt at an engine ends after 50 ms, if at all.
 fn trickle(rig: &mut Rig, requests: usize, act: impl Fn(EngineId) -> Option<Outcome>) -> Vec<RequestId> {
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use cairnwharf::*;
 use common::*;
+use reedwalk_core::*;
 
 #[test]
 fn simultaneous_arrivals_leave_in_target_order() {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use cairnwharf::*;
 use common::ms;
+use reedwalk_core::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use cairnwharf::*;
 use common::*;
+use reedwalk_core::*;
 
 #[test]
 fn every_request_is_answered_before_its_client_gives_up() {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use cairnwharf::*;
 use common::settings;
+use reedwalk_core::*;
 
 #[test]
 fn each_field_that_makes_no_sense_is_named() {
