Add the Arrow Flight SQL front and engine links, off unless an operator's file turns them on

Clients come in by statement query (GetFlightInfo, then DoGet with a ticket that runs once) and update; engines are reached the same way; both pass through the same broker and decision module. Class, trace, key and estimates stand in gRPC metadata, the deadline in grpc-timeout; refusals are RESOURCE_EXHAUSTED with RetryInfo.

Checked on loopback with the repository's own client and engine stand-in: a stream cut halfway through a statement, a batch-post whose acknowledgement is lost (two attempts, one key, one effect), cancel, drain inside 2 s, a cold engine, and one scenario through both protocols with equal ends, reasons and effects. Seen while building: tonic's own server answers CANCELLED at grpc-timeout and drops the handler, so connections are served by hyper and the broker's answer stands. arrow-flight, tonic, hyper and the arrow crates come in for gRPC and Arrow. Flight SQL has no progress notes and no word for a running query's priority: the module is told that there are none, and a new priority holds from the next attempt on.

--- a/gateway/src/broker/desk.rs
+++ b/gateway/src/broker/desk.rs
@@ -32,6 +32,12 @@
         Self { queue, next: Arc::default() }
     }
 
+    /// A number that this desk has not given before, spread over all values: an id for a request without one.
+    pub fn fresh(&self) -> u64 {
+        let n = self.next.fetch_add(1, Ordering::Relaxed).wrapping_add(1);
+        n.wrapping_mul(0x9E37_79B9_7F4A_7C15)
+    }
+
     /// Hands a request in.
     ///
     /// # Errors
--- a/gateway/src/broker/message.rs
+++ b/gateway/src/broker/message.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 use reedwalk_core::{Bill, ClassId, EngineEntry, EngineId, LoadReport, Note, Outcome, RequestId};
+use std::any::Any;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,15 +15,44 @@
 pub struct Rows {
     /// Cells in a row.
     pub columns: usize,
+    /// Names of the columns, where the engine tells them.
+    pub names: Vec<String>,
     /// All cells, row by row.
     pub cells: Vec<Option<Bytes>>,
+    /// Rows that an update has changed, where the engine tells that in place of rows.
+    pub changed: Option<i64>,
+    /// The result as its engine's wire has it, for a front that speaks the same.
+    pub native: Native,
 }
 
+/// Something that only a link and a front of one kind understand; all are equal.
+#[derive(Clone, Default)]
+pub struct Native(pub Option<Arc<dyn Any + Send + Sync>>);
+
+impl fmt::Debug for Native {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(if self.0.is_some() { "Native" } else { "None" })
+    }
+}
+
+impl PartialEq for Native {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for Native {}
+
 impl Rows {
     /// The rows, in order.
     pub fn iter(&self) -> impl Iterator<Item = &[Option<Bytes>]> {
         self.cells.chunks(self.columns.max(1))
     }
+
+    /// Name of a column, counted from 0.
+    pub fn name(&self, column: usize) -> String {
+        self.names.get(column).cloned().unwrap_or_else(|| format!("c{}", column + 1))
+    }
 }
 
 /// Why a request was refused; a further try is harmless.
@@ -83,6 +114,8 @@
     pub memory_mb: Option<f64>,
     /// Group of tables that it reads or writes.
     pub group: Option<u64>,
+    /// It changes data, and its answer is a count where the engine tells one.
+    pub update: bool,
     /// The statement.
     pub statement: Bytes,
 }
@@ -110,6 +143,8 @@
     pub memory_mb: Option<f64>,
     /// Priority, 0 to 3.
     pub priority: u8,
+    /// It changes data.
+    pub update: bool,
     /// The statement.
     pub statement: Bytes,
 }
@@ -164,6 +199,24 @@
     Engines(Vec<Listed>),
 }
 
+impl<L: EngineLinks + ?Sized> EngineLinks for Box<L> {
+    fn place(&mut self, engine: EngineId, address: Option<SocketAddr>) {
+        (**self).place(engine, address);
+    }
+    fn start(&mut self, order: Order, now: Instant) -> bool {
+        (**self).start(order, now)
+    }
+    fn stop(&mut self, key: AttemptKey) {
+        (**self).stop(key);
+    }
+    fn boost(&mut self, key: AttemptKey, priority: u8) {
+        (**self).boost(key, priority);
+    }
+    fn over(&mut self, key: AttemptKey) {
+        (**self).over(key);
+    }
+}
+
 /// Starts and stops attempts at the engines. Nothing here waits: what comes of an attempt reaches the broker
 /// through its queue, as [`Input::News`].
 pub trait EngineLinks: Send {
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -360,6 +360,7 @@
             nonce: open.ask.nonce.clone(),
             memory_mb: open.memory_mb,
             priority: open.priority,
+            update: open.ask.update,
             statement: open.ask.statement.clone(),
         };
         if !self.links.start(order, now) {
--- a/gateway/src/cli.rs
+++ b/gateway/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use crate::config::{self, Config, ConfigError};
+use crate::operator::Operator;
 use crate::serve;
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use std::ffi::OsString;
@@ -17,30 +18,38 @@
   version        say the version
 
 options of serve and check-config:
-  --config FILE  the configuration; else GW_CONFIG names it
-  --log LEVEL    error, warning, info (usual) or debug
+  --config FILE    the configuration; else GW_CONFIG names it
+  --operator FILE  what an operator turns on, such as the Flight SQL front
+  --log LEVEL      error, warning, info (usual) or debug
 ";
 
 struct Options {
     config: PathBuf,
+    operator: Option<PathBuf>,
     level: Level,
 }
 
 fn options(args: &mut pico_args::Arguments) -> Result<Options, String> {
-    let config = args.opt_value_from_os_str("--config", |s| Ok::<_, ConfigError>(PathBuf::from(s)));
-    let config = config.map_err(|e| e.to_string())?.or(std::env::var_os("GW_CONFIG").map(PathBuf::from));
+    let mut path = |name| {
+        let path = args.opt_value_from_os_str(name, |s| Ok::<_, ConfigError>(PathBuf::from(s)));
+        path.map_err(|e| e.to_string())
+    };
+    let config = path("--config")?.or(std::env::var_os("GW_CONFIG").map(PathBuf::from));
+    let operator = path("--operator")?;
     let level: Option<String> = args.opt_value_from_str("--log").map_err(|e| e.to_string())?;
     let level = level.map_or(Ok(Level::Info), |l| l.parse().map_err(|()| format!("no such level: {l}")))?;
-    Ok(Options { config: config.ok_or_else(|| ConfigError::NoFile.to_string())?, level })
+    Ok(Options { operator, config: config.ok_or_else(|| ConfigError::NoFile.to_string())?, level })
 }
 
-fn load(options: &Options) -> Result<Config, String> {
+fn load(options: &Options) -> Result<(Config, Operator), String> {
     let name = std::env::var("GW_NAME").ok();
     let listen = match std::env::var("GW_LISTEN") {
         Ok(text) => Some(text.parse::<SocketAddr>().map_err(|e| format!("GW_LISTEN: {e}"))?),
         Err(_) => None,
     };
-    config::read(&options.config, name, listen).map_err(|e| e.to_string())
+    let operator = options.operator.as_deref().map(config::read_operator).transpose();
+    let operator = operator.map_err(|e| e.to_string())?.unwrap_or_default();
+    Ok((config::read(&options.config, name, listen).map_err(|e| e.to_string())?, operator))
 }
 
 fn run(mut args: pico_args::Arguments) -> Result<(), String> {
@@ -53,21 +62,27 @@
         Some("check-config") => {
             let options = options(&mut args)?;
             finish(args)?;
-            let config = load(&options)?;
+            let (config, operator) = load(&options)?;
             reedwalk_core::Gateway::new(config.deployment.core.clone(), config.seed)
                 .map_err(|e| e.to_string())?;
             let classes = config.deployment.sockets.classes.join(", ");
             println!("{}: listens on {}, classes {classes}", config.name, config.listen);
+            match operator.flight {
+                Some(flight) => {
+                    println!("flight: listens on {}, engines {:?}", flight.listen, operator.engines)
+                }
+                None => println!("flight: off, engines {:?}", operator.engines),
+            }
             Ok(())
         }
         Some("serve") => {
             let options = options(&mut args)?;
             finish(args)?;
-            let config = load(&options)?;
+            let (config, operator) = load(&options)?;
             let log = logger(options.level);
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let runtime = runtime.map_err(|e| e.to_string())?;
-            runtime.block_on(serve::serve(config, log)).map_err(|e| e.to_string())
+            runtime.block_on(serve::serve(config, operator, log)).map_err(|e| e.to_string())
         }
         _ => Err(USAGE.to_owned()),
     }
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,5 +1,6 @@
 //! What a front end is told at its start: `GW_CONFIG`, and `GW_NAME` and `GW_LISTEN` beside it.
 
+use crate::operator::Operator;
 use reedwalk_settings::{Deployment, ReadError};
 use serde::Deserialize;
 use std::fmt;
@@ -86,6 +87,15 @@
     pub deployment: Deployment,
 }
 
+/// Reads an operator's file.
+///
+/// # Errors
+/// Says what is wrong with it.
+pub fn read_operator(path: &Path) -> Result<Operator, ConfigError> {
+    let text = std::fs::read(path).map_err(|e| ConfigError::Unreadable(path.into(), e))?;
+    serde_json::from_slice(&text).map_err(|e| ConfigError::Malformed(path.into(), e))
+}
+
 /// Reads a configuration file; a name or an address from the environment go before what it says.
 ///
 /// # Errors
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -1,3 +1,18 @@
 //! Links to the engines.
 
+pub mod flight;
+mod pool;
 pub mod resp;
+
+use reedwalk_core::LoadReport;
+
+/// Bytes of one result at most.
+pub const RESULT_MOST: usize = 48_000;
+
+/// Reads a load report as it stands in an answer: `name:value;name:value`.
+pub fn read_load(text: &str) -> LoadReport {
+    reedwalk_settings::load_report(|name| {
+        let found = text.split(';').find_map(|f| f.split_once(':').filter(|f| f.0 == name));
+        found.and_then(|f| f.1.parse().ok()).filter(|v: &f64| v.is_finite())
+    })
+}
--- /dev/null
+++ b/gateway/src/engine/pool.rs
@@ -0,0 +1,188 @@
+//! Which connection an attempt goes on, whatever the wire: engines by id, their connections, what is out there.
+
+use crate::broker::{AttemptKey, Order};
+use bytes::Bytes;
+use reedwalk_core::EngineId;
+use reedwalk_settings::Sockets;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Connections to one engine at most.
+const CONNECTIONS_MOST: usize = 12;
+/// Ids of attempts that were given up are not used again on their connection for so long: an answer that
+/// crossed the KILL would be taken for the new attempt's.
+const SPENT_FOR: Duration = Duration::from_secs(5);
+/// With work out and nothing heard for so long, a connection takes no further attempts: notes come every
+/// half second, and a machine that vanished says nothing on open connections, also after it is back.
+const SILENT_AFTER: Duration = Duration::from_millis(1600);
+/// Closed by us this long before the engine would, so that no request crosses its close.
+const CLOSE_EARLY: Duration = Duration::from_secs(1);
+
+/// When anything was last read from a connection; its task writes it and the pool reads it.
+#[derive(Debug)]
+pub struct Heard {
+    start: Instant,
+    micros: AtomicU64,
+    suspect: AtomicBool,
+}
+
+impl Heard {
+    fn new(start: Instant) -> Self {
+        Self { start, micros: AtomicU64::new(0), suspect: AtomicBool::new(false) }
+    }
+
+    /// The last sign of life, or `since` if that is later.
+    fn last(&self, since: Instant) -> Instant {
+        (self.start + Duration::from_micros(self.micros.load(Ordering::Relaxed))).max(since)
+    }
+
+    /// Something was read just now.
+    pub fn now(&self) {
+        self.micros.store(self.start.elapsed().as_micros() as u64, Ordering::Relaxed);
+        self.suspect.store(false, Ordering::Relaxed);
+    }
+}
+
+/// The way to a connection's task, or to the connection itself.
+pub trait Handle {
+    /// It is broken; nothing more can go there.
+    fn closed(&self) -> bool;
+}
+
+struct Line<C> {
+    handle: C,
+    peer: SocketAddr,
+    open: HashMap<AttemptKey, Bytes>,
+    spent: VecDeque<(Instant, Bytes)>,
+    heard: Arc<Heard>,
+    used: Instant,
+}
+
+struct Engine<C> {
+    address: Option<SocketAddr>,
+    lines: HashMap<u64, Line<C>>,
+}
+
+/// All connections to all engines.
+pub struct Pool<C> {
+    engines: HashMap<EngineId, Engine<C>>,
+    attempts: HashMap<AttemptKey, (EngineId, u64)>,
+    next: u64,
+    sockets: Arc<Sockets>,
+}
+
+impl<C> Line<C> {
+    fn idle(&self, sockets: &Sockets, now: Instant) -> bool {
+        let idle = now.saturating_duration_since(self.used);
+        self.open.is_empty() && idle + CLOSE_EARLY >= sockets.keepalive
+    }
+
+    fn silent(&self, now: Instant) -> bool {
+        // Idle connections say nothing either: only work that is out, or was given up unheard of, counts.
+        let quiet = now.saturating_duration_since(self.heard.last(self.used));
+        quiet > SILENT_AFTER && (!self.open.is_empty() || self.heard.suspect.load(Ordering::Relaxed))
+    }
+}
+
+impl<C: Handle> Line<C> {
+    fn takes(&mut self, trace: &Bytes, sockets: &Sockets, now: Instant) -> bool {
+        while self.spent.front().is_some_and(|s| now.saturating_duration_since(s.0) > SPENT_FOR) {
+            self.spent.pop_front();
+        }
+        !self.handle.closed()
+            && !self.idle(sockets, now)
+            && !self.silent(now)
+            && self.open.len() < sockets.multiplex
+            && self.open.values().chain(self.spent.iter().map(|s| &s.1)).all(|t| t != trace)
+    }
+}
+
+impl<C: Handle> Pool<C> {
+    /// A pool with no engines.
+    pub fn new(sockets: Arc<Sockets>) -> Self {
+        Self { engines: HashMap::new(), attempts: HashMap::new(), next: 0, sockets }
+    }
+
+    /// Takes in where an engine listens; `None` when it is gone.
+    pub fn place(&mut self, id: EngineId, address: Option<SocketAddr>) {
+        let engine =
+            self.engines.entry(id).or_insert_with(|| Engine { address: None, lines: HashMap::new() });
+        if engine.address != address {
+            // What is out on the old connections may still be answered there; new attempts go elsewhere.
+            engine.address = address;
+            engine.lines.retain(|_, l| !l.open.is_empty());
+        }
+        if address.is_none() && engine.lines.is_empty() {
+            self.engines.remove(&id);
+        }
+    }
+
+    /// The connection for an attempt, opened if need be; `None` if the engine is not there or has no room.
+    pub fn pick(
+        &mut self,
+        order: &Order,
+        now: Instant,
+        open: impl FnOnce(SocketAddr, Arc<Heard>) -> C,
+    ) -> Option<(&C, &Arc<Heard>)> {
+        let engine = self.engines.get_mut(&order.engine)?;
+        let address = engine.address?;
+        let sockets = &self.sockets;
+        // Connections with nothing out that are idle or silent are let go here: dropping the handle closes them.
+        let kept = |l: &Line<C>| !l.handle.closed() && !l.idle(sockets, now) && !l.silent(now);
+        engine.lines.retain(|_, l| !l.open.is_empty() || kept(l));
+        let usable = engine.lines.iter_mut().filter(|l| l.1.peer == address);
+        let fullest =
+            usable.filter_map(|(n, l)| l.takes(&order.trace, sockets, now).then_some((l.open.len(), *n)));
+        let number = match fullest.max() {
+            Some((_, number)) => number,
+            None if engine.lines.len() < CONNECTIONS_MOST => {
+                let heard = Arc::new(Heard::new(now));
+                let handle = open(address, heard.clone());
+                let (open, spent) = (HashMap::new(), VecDeque::new());
+                self.next += 1;
+                engine.lines.insert(self.next, Line { handle, peer: address, open, spent, heard, used: now });
+                self.next
+            }
+            None => return None,
+        };
+        let line = engine.lines.get_mut(&number)?;
+        if line.open.is_empty() {
+            line.used = now;
+        }
+        line.open.insert(order.key, order.trace.clone());
+        self.attempts.insert(order.key, (order.engine, number));
+        Some((&line.handle, &line.heard))
+    }
+
+    /// The connection that an attempt is out on.
+    pub fn find(&self, key: AttemptKey) -> Option<&C> {
+        let (engine, number) = self.attempts.get(&key)?;
+        Some(&self.engines.get(engine)?.lines.get(number)?.handle)
+    }
+
+    /// An attempt is out no more. One that was given up casts doubt on its connection until it is heard again.
+    pub fn release(&mut self, key: AttemptKey, given_up: bool) {
+        let Some((id, number)) = self.attempts.remove(&key) else { return };
+        let Some(engine) = self.engines.get_mut(&id) else { return };
+        if let Some(line) = engine.lines.get_mut(&number)
+            && let Some(trace) = line.open.remove(&key)
+        {
+            if given_up {
+                line.heard.suspect.store(true, Ordering::Relaxed);
+                line.spent.push_back((Instant::now(), trace));
+            } else {
+                line.used = Instant::now();
+            }
+            if line.open.is_empty() && (line.handle.closed() || engine.address != Some(line.peer)) {
+                engine.lines.remove(&number);
+            }
+        }
+        if engine.address.is_none() && engine.lines.is_empty() {
+            self.engines.remove(&id);
+        }
+    }
+}
--- a/gateway/src/engine/resp/connection.rs
+++ b/gateway/src/engine/resp/connection.rs
@@ -1,14 +1,15 @@
 //! One connection to an engine: a task that writes commands and reads answers, many attempts at a time.
 
-use super::wire::{self, PAGES_MOST, RESULT_MOST, Reply, Word};
+use super::wire::{self, PAGES_MOST, Reply, Word};
 use crate::broker::{AttemptKey, End, Input, News, Order, Rows};
+use crate::engine::RESULT_MOST;
+use crate::engine::pool::Heard;
 use bytes::{Buf, Bytes, BytesMut};
 use reedwalk_core::Outcome;
 use reedwalk_settings::Sockets;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -25,44 +26,6 @@
     Boost(AttemptKey, u8),
 }
 
-/// When anything was last read from a connection; the task writes it and the links read it.
-#[derive(Debug)]
-pub struct Heard {
-    peer: SocketAddr,
-    start: Instant,
-    micros: AtomicU64,
-    suspect: AtomicBool,
-}
-
-impl Heard {
-    pub fn new(peer: SocketAddr, start: Instant) -> Self {
-        Self { peer, start, micros: AtomicU64::new(0), suspect: AtomicBool::new(false) }
-    }
-
-    pub fn peer(&self) -> SocketAddr {
-        self.peer
-    }
-
-    /// The last sign of life, or `since` if that is later.
-    pub fn last(&self, since: Instant) -> Instant {
-        (self.start + std::time::Duration::from_micros(self.micros.load(Ordering::Relaxed))).max(since)
-    }
-
-    /// An attempt there was given up: until something is heard, the connection may be dead.
-    pub fn doubt(&self) {
-        self.suspect.store(true, Ordering::Relaxed);
-    }
-
-    pub fn suspect(&self) -> bool {
-        self.suspect.load(Ordering::Relaxed)
-    }
-
-    fn now(&self) {
-        self.micros.store(self.start.elapsed().as_micros() as u64, Ordering::Relaxed);
-        self.suspect.store(false, Ordering::Relaxed);
-    }
-}
-
 struct Attempt {
     key: AttemptKey,
     /// Bytes written in all once its command is whole on the wire.
@@ -72,6 +35,7 @@
 }
 
 pub struct Task {
+    peer: SocketAddr,
     heard: Arc<Heard>,
     sockets: Arc<Sockets>,
     queue: mpsc::Sender<Input>,
@@ -83,8 +47,14 @@
 }
 
 impl Task {
-    pub fn new(heard: Arc<Heard>, sockets: Arc<Sockets>, queue: mpsc::Sender<Input>) -> Self {
+    pub fn new(
+        peer: SocketAddr,
+        heard: Arc<Heard>,
+        sockets: Arc<Sockets>,
+        queue: mpsc::Sender<Input>,
+    ) -> Self {
         Self {
+            peer,
             heard,
             sockets,
             queue,
@@ -110,7 +80,7 @@
 
     /// Connects by `by`, then serves until the links let go of it or the connection breaks.
     pub async fn run(mut self, mut commands: mpsc::Receiver<Command>, by: Instant) {
-        let stream = match timeout_at(by, TcpStream::connect(self.heard.peer())).await {
+        let stream = match timeout_at(by, TcpStream::connect(self.peer)).await {
             Ok(Ok(stream)) => Some(stream),
             _ => None,
         };
--- a/gateway/src/engine/resp/wire.rs
+++ b/gateway/src/engine/resp/wire.rs
@@ -12,12 +12,10 @@
 const WORD_MOST: usize = 256 * 1024;
 /// Bytes of a length line at most.
 const LINE_MOST: usize = 16;
-/// Columns of a result, and pages that 48,000 bytes may fill with some room.
+/// Columns of a result.
 const COLUMNS: usize = 3;
 /// Pages of one result at most.
 pub const PAGES_MOST: u32 = 64;
-/// Bytes of one result at most.
-pub const RESULT_MOST: usize = 48_000;
 
 /// Bytes that are no answer; the connection can't be read any further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -165,12 +163,7 @@
         (Some("queued"), Some(_)) => Some(Note::WaitsForMemory),
         _ => None,
     };
-    let load = find("rep").map(|rep| {
-        reedwalk_settings::load_report(|name| {
-            let found = rep.split(';').find_map(|f| f.split_once(':').filter(|f| f.0 == name));
-            found.and_then(|f| f.1.parse().ok()).filter(|v: &f64| v.is_finite())
-        })
-    });
+    let load = find("rep").map(crate::engine::read_load);
     let bill = number("elapsed").filter(|ms| *ms >= 0.0).map(|ms| Bill {
         work: Duration::from_micros((ms * 1000.0).min(1e15) as u64),
         memory_mb: number("rss").unwrap_or(0.0).max(0.0),
--- /dev/null
+++ b/gateway/src/front/flight/mod.rs
@@ -0,0 +1,97 @@
+//! The front on Arrow Flight SQL: statement queries (GetFlightInfo, then DoGet) and updates (DoPut). All else
+//! is answered UNIMPLEMENTED.
+
+mod result;
+mod service;
+mod ticket;
+
+use crate::broker::Desk;
+use crate::shutdown::{Phase, closing};
+use arrow_flight::flight_service_server::FlightServiceServer;
+use hyper::server::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use reedwalk_settings::Deployment;
+pub use service::Service;
+use slog::{Logger, debug, warn};
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until};
+
+/// Calls that one connection carries at a time.
+const STREAMS_MOST: u32 = 64;
+/// A statement and what stands around it.
+const MESSAGE_MOST: usize = 256 * 1024;
+
+/// Accepts connections until the phase tells it to close. `alive` is held by each until it has ended.
+pub async fn serve(
+    listener: TcpListener,
+    service: Service,
+    connections_most: usize,
+    mut phase: watch::Receiver<Phase>,
+    alive: mpsc::Sender<()>,
+    log: Logger,
+) {
+    let service = FlightServiceServer::new(service).max_decoding_message_size(MESSAGE_MOST);
+    let open = Arc::new(AtomicUsize::new(0));
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    warn!(log, "accept failed"; "error" => %error);
+                    sleep_until(Instant::now() + Duration::from_millis(20)).await;
+                    continue;
+                }
+            },
+            () = closing(&mut phase) => return,
+        };
+        if open.load(Ordering::Relaxed) >= connections_most {
+            continue;
+        }
+        let (service, phase, alive) = (service.clone(), phase.clone(), alive.clone());
+        let (open, log) = (open.clone(), log.clone());
+        open.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(async move {
+            connection(stream, service, phase, log).await;
+            open.fetch_sub(1, Ordering::Relaxed);
+            drop(alive);
+        });
+    }
+}
+
+/// Serves one connection. It is not tonic's own server, because that answers CANCELLED at a call's deadline and
+/// drops its handler, where the broker's own answer is wanted.
+async fn connection(
+    stream: TcpStream,
+    service: FlightServiceServer<Service>,
+    mut phase: watch::Receiver<Phase>,
+    log: Logger,
+) {
+    let _ = stream.set_nodelay(true);
+    let mut server = http2::Builder::new(TokioExecutor::new());
+    server.timer(TokioTimer::new()).max_concurrent_streams(STREAMS_MOST);
+    let served = server.serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
+    let mut served = pin!(served);
+    let end = tokio::select! {
+        end = served.as_mut() => end,
+        () = closing(&mut phase) => {
+            served.as_mut().graceful_shutdown();
+            served.await
+        }
+    };
+    if let Err(error) = end {
+        debug!(log, "flight connection"; "error" => %error);
+    }
+}
+
+impl Service {
+    /// A service that hands its requests in at `desk`.
+    pub fn new(desk: Desk, deployment: Arc<Deployment>, seed: u64) -> Self {
+        Self { desk, deployment, tickets: Arc::new(ticket::Tickets::new(seed)) }
+    }
+}
--- /dev/null
+++ b/gateway/src/front/flight/result.rs
@@ -0,0 +1,70 @@
+//! Answers as gRPC has them: rows as record batches, refusals and failures as statuses.
+
+use crate::broker::{Failure, Refusal, Rows};
+use arrow_array::{ArrayRef, BinaryArray, RecordBatch, StringArray};
+use arrow_schema::{ArrowError, DataType, Field, Schema, SchemaRef};
+use std::sync::Arc;
+use std::time::Duration;
+use tonic::{Code, Status};
+use tonic_types::{ErrorDetails, StatusExt};
+
+/// Who tells the reason in an error's details.
+const DOMAIN: &str = "reedwalk";
+
+/// The rows as record batches: as their engine sent them, if it spoke Arrow, or as columns of text (of bytes,
+/// where a cell is no UTF-8).
+pub fn batches(rows: Rows) -> Result<(SchemaRef, Vec<RecordBatch>), ArrowError> {
+    if let Some(native) = rows.native.0.as_ref().and_then(|n| n.downcast_ref::<Vec<RecordBatch>>())
+        && let Some(first) = native.first()
+    {
+        return Ok((first.schema(), native.clone()));
+    }
+    let columns = if rows.cells.is_empty() { rows.columns } else { rows.columns.max(1) };
+    let (mut fields, mut arrays) = (Vec::new(), Vec::<ArrayRef>::new());
+    for column in 0..columns {
+        let cells = || rows.iter().map(|row| row.get(column).and_then(|c| c.as_deref()));
+        let texts = cells().map(|c| c.map(std::str::from_utf8).transpose()).collect::<Result<Vec<_>, _>>();
+        let (kind, array): (_, ArrayRef) = match texts {
+            Ok(texts) => (DataType::Utf8, Arc::new(StringArray::from(texts))),
+            Err(_) => (DataType::Binary, Arc::new(BinaryArray::from_iter(cells()))),
+        };
+        fields.push(Field::new(rows.name(column), kind, true));
+        arrays.push(array);
+    }
+    let schema = Arc::new(Schema::new(fields));
+    let batches =
+        if arrays.is_empty() { vec![] } else { vec![RecordBatch::try_new(schema.clone(), arrays)?] };
+    Ok((schema, batches))
+}
+
+/// The reason's name in an error's details; the same for both fronts.
+pub fn refusal_name(why: Refusal) -> &'static str {
+    match why {
+        Refusal::Busy => "BUSY",
+        Refusal::Shed => "SHED",
+        Refusal::Budget => "BUDGET",
+        Refusal::Contract => "CONTRACT",
+    }
+}
+
+/// A refusal: trying again is harmless, after the time that the details tell.
+pub fn refused(why: Refusal, retry_after: Option<Duration>) -> Status {
+    let mut details = ErrorDetails::new();
+    details.set_error_info(refusal_name(why), DOMAIN, std::collections::HashMap::<String, String>::new());
+    if let Some(after) = retry_after {
+        details.set_retry_info(Some(after));
+    }
+    Status::with_error_details(Code::ResourceExhausted, "refused; a further try is harmless", details)
+}
+
+/// A failure: whether it had an effect is not known. Not UNAVAILABLE, which callers repeat unasked.
+pub fn failed(why: Failure) -> Status {
+    match why {
+        Failure::Deadline => Status::deadline_exceeded("the query's time ran out"),
+        Failure::Engine => {
+            let none = std::collections::HashMap::<String, String>::new();
+            let details = ErrorDetails::with_error_info("ENGINE", DOMAIN, none);
+            Status::with_error_details(Code::Internal, "no engine could serve the query", details)
+        }
+    }
+}
--- a/gateway/src/front/mod.rs
+++ b/gateway/src/front/mod.rs
@@ -1,3 +1,4 @@
 //! Fronts: where clients connect.
 
+pub mod flight;
 pub mod mysql;
--- a/gateway/src/front/mysql/packet.rs
+++ b/gateway/src/front/mysql/packet.rs
@@ -104,10 +104,12 @@
         });
     }
 
-    /// OK, with nothing to tell.
-    pub fn ok(&mut self) {
+    /// OK, with the number of rows changed.
+    pub fn ok(&mut self, changed: u64) {
         self.packet(|out| {
-            out.put_slice(&[0, 0, 0]);
+            out.put_u8(0);
+            put_length(out, changed);
+            out.put_u8(0);
             out.put_u16_le(AUTOCOMMIT);
             out.put_u16_le(0);
         });
@@ -136,9 +138,9 @@
     pub fn rows(&mut self, rows: &Rows) {
         let columns = rows.columns.max(1);
         self.packet(|out| put_length(out, columns as u64));
-        for number in 1..=columns {
+        for column in 0..columns {
             self.packet(|out| {
-                let name = format!("c{number}");
+                let name = rows.name(column);
                 for text in ["def", "", "", "", &name, ""] {
                     put_text(out, text.as_bytes());
                 }
--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -68,7 +68,7 @@
             Writer::new(&mut self.out, 2).error(1045, b"28000", "access denied");
             return self.flush(by).await;
         }
-        Writer::new(&mut self.out, 2).ok();
+        Writer::new(&mut self.out, 2).ok(0);
         self.flush(by).await?;
         loop {
             let packet = loop {
@@ -89,7 +89,7 @@
             match packet::read_command(packet).map_err(Closed::Framing)? {
                 Command::Query(text) => self.query(text).await?,
                 Command::Quit => return Ok(()),
-                Command::Ping | Command::UseDatabase => Writer::new(&mut self.out, 1).ok(),
+                Command::Ping | Command::UseDatabase => Writer::new(&mut self.out, 1).ok(0),
                 Command::Unknown(number) => {
                     let text = format!("unknown command {number}");
                     Writer::new(&mut self.out, 1).error(1047, b"08S01", &text);
@@ -106,7 +106,7 @@
             if let Some(kill) = self.front.running.leave(target) {
                 let _ = kill.send(());
             }
-            Writer::new(&mut self.out, 1).ok();
+            Writer::new(&mut self.out, 1).ok(0);
             return Ok(());
         }
         let ask = match self.ask(&text, now) {
@@ -174,6 +174,7 @@
             work: fields.weight_ms.map(|ms| Duration::from_micros((ms * 1000.0).min(1e15) as u64)),
             memory_mb: fields.space_mb,
             group: statement::group(&statement),
+            update: self.front.deployment.core.classes[class].is_load,
             statement,
         })
     }
@@ -208,7 +209,10 @@
 fn write_answer(out: &mut BytesMut, answer: Answer) {
     let mut writer = Writer::new(out, 1);
     match answer {
-        Answer::Served(rows) => writer.rows(&rows),
+        Answer::Served(rows) => match rows.changed {
+            Some(changed) => writer.ok(changed.max(0) as u64),
+            None => writer.rows(&rows),
+        },
         Answer::Refused { why, retry_after } => {
             let (code, state, text) = match why {
                 Refusal::Busy => (1203, b"42000", "all engines are busy"),
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -1,19 +1,23 @@
 //! Puts the parts together and runs them.
 
-use crate::broker::{Broker, Desk, Input, QUEUE};
+use crate::broker::{Broker, Desk, EngineLinks, Input, QUEUE};
 use crate::config::Config;
-use crate::engine::resp::Links;
+use crate::engine::{flight, resp};
+use crate::front;
+use crate::front::flight::Service;
 use crate::front::mysql::Front;
 use crate::names::{self, list::Book};
+use crate::operator::{EngineWire, Operator};
 use crate::shutdown::{self, Phase};
 use reedwalk_core::Gateway;
 use slog::{Logger, info, o};
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 /// Why the program could not serve.
 #[derive(Debug)]
@@ -43,12 +47,30 @@
 /// What is taken is answered by its deadline; past the longest one and this there is nothing to wait for.
 const LAST: Duration = Duration::from_millis(600);
 
-/// Serves until SIGTERM and what was taken before it is answered.
+/// A program that has started.
+#[derive(Debug)]
+pub struct Running {
+    /// Where MySQL clients connect.
+    pub mysql: SocketAddr,
+    /// Where Flight SQL clients connect, if that front is on.
+    pub flight: Option<SocketAddr>,
+    /// Longest that anything taken may still wait for its answer.
+    longest: Duration,
+    phase: watch::Sender<Phase>,
+    ended: mpsc::Receiver<()>,
+}
+
+/// Starts all parts.
 ///
 /// # Errors
 /// Where it can't start.
-pub async fn serve(config: Config, log: Logger) -> Result<(), ServeError> {
-    let deployment = Arc::new(config.deployment);
+pub async fn start(config: Config, operator: Operator, log: &Logger) -> Result<Running, ServeError> {
+    let mut deployment = config.deployment;
+    if operator.engines == EngineWire::FlightSql {
+        // Flight SQL has no notes: their absence must not be taken for an engine's silence.
+        deployment.core.engine.notes_every = None;
+    }
+    let deployment = Arc::new(deployment);
     let sockets = Arc::new(deployment.sockets.clone());
     let gateway = Gateway::new(deployment.core.clone(), config.seed).map_err(ServeError::Settings)?;
     let (queue, inputs) = mpsc::channel(QUEUE);
@@ -58,7 +80,10 @@
         info!(log, "start"; "name" => &config.name, "engines" => changes.len(), "serial" => book.serial());
         let _ = queue.send(Input::Engines(changes)).await;
     }
-    let links = Links::new(sockets.clone(), queue.clone());
+    let links: Box<dyn EngineLinks> = match operator.engines {
+        EngineWire::Resp => Box::new(resp::Links::new(sockets.clone(), queue.clone())),
+        EngineWire::FlightSql => Box::new(flight::Links::new(sockets.clone(), queue.clone())),
+    };
     let broker_log = log.new(o!("part" => "broker"));
     let broker = Broker::new(gateway, links, &deployment.core.limits, sockets.open_cap, broker_log);
     tokio::spawn(broker.run(inputs));
@@ -66,18 +91,53 @@
         let log = log.new(o!("part" => "names"));
         tokio::spawn(names::watch(server, book, queue.clone(), config.seed, log));
     }
-    let listener = TcpListener::bind(config.listen).await.map_err(|e| ServeError::Io("listen", e))?;
+    let desk = Desk::new(queue);
     let (phase, phases) = watch::channel(Phase::Open);
-    let (alive, mut ended) = mpsc::channel(1);
+    let (alive, ended) = mpsc::channel(1);
+    let (listener, mysql) = listen(config.listen).await?;
     let most = (config.limits.sockets as f64 * SESSIONS_SHARE) as usize;
-    let front = Front::new(Desk::new(queue), deployment.clone(), most, config.seed, log.clone());
+    let flight = match operator.flight {
+        Some(front) => {
+            let (listener, address) = listen(front.listen).await?;
+            let service = Service::new(desk.clone(), deployment.clone(), config.seed);
+            let log = log.new(o!("part" => "flight"));
+            let (phases, alive) = (phases.clone(), alive.clone());
+            tokio::spawn(front::flight::serve(listener, service, front.connections, phases, alive, log));
+            Some(address)
+        }
+        None => None,
+    };
+    let front = Front::new(desk, deployment.clone(), most, config.seed, log.clone());
     tokio::spawn(Arc::new(front).serve(listener, phases, alive));
-    info!(log, "serving"; "listen" => %config.listen);
-    let came = shutdown::announce(&phase).await.map_err(|e| ServeError::Io("signals", e))?;
-    info!(log, "closing");
     let longest = deployment.core.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-    // Each session holds a sender: when all are gone, all that was taken has been answered.
-    let _ = timeout_at(came + longest + LAST, ended.recv()).await;
+    Ok(Running { mysql, flight, longest, phase, ended })
+}
+
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), ServeError> {
+    let listener = TcpListener::bind(address).await.map_err(|e| ServeError::Io("listen", e))?;
+    let address = listener.local_addr().map_err(|e| ServeError::Io("listen", e))?;
+    Ok((listener, address))
+}
+
+impl Running {
+    /// Closes the fronts to what is new and waits until all that was taken is answered, counted from `since`.
+    pub async fn close(mut self, since: Instant) {
+        self.phase.send_replace(Phase::Closing);
+        // Each session holds a sender: when all are gone, all that was taken has been answered.
+        let _ = timeout_at(since + self.longest + LAST, self.ended.recv()).await;
+    }
+}
+
+/// Serves until SIGTERM and what was taken before it is answered.
+///
+/// # Errors
+/// Where it can't start.
+pub async fn serve(config: Config, operator: Operator, log: Logger) -> Result<(), ServeError> {
+    let running = start(config, operator, &log).await?;
+    info!(log, "serving"; "mysql" => %running.mysql, "flight" => ?running.flight);
+    let came = shutdown::announced().await.map_err(|e| ServeError::Io("signals", e))?;
+    info!(log, "closing");
+    running.close(came).await;
     info!(log, "ended");
     Ok(())
 }
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -17,11 +17,11 @@
     Closing,
 }
 
-/// Waits for SIGTERM or SIGINT, then for the overlap, and tells the fronts to close. Returns when the signal came.
+/// Waits for SIGTERM or SIGINT, then for the overlap. Returns when the signal came.
 ///
 /// # Errors
 /// Where the signals can't be watched.
-pub async fn announce(phase: &watch::Sender<Phase>) -> std::io::Result<Instant> {
+pub async fn announced() -> std::io::Result<Instant> {
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
@@ -30,7 +30,6 @@
     }
     let came = Instant::now();
     sleep_until(came + OVERLAP).await;
-    phase.send_replace(Phase::Closing);
     Ok(came)
 }
 
--- /dev/null
+++ b/gateway/tests/mysql_front.rs
@@ -0,0 +1,154 @@
+//! The MySQL front and the RESP links, with stand-ins on loopback.
+
+mod support;
+
+use reedwalk_gateway::operator::Operator;
+use std::time::{Duration, Instant};
+use support::mysql::{Client, expected, fields, login, query, with_engines};
+use support::{Ended, World, config, gateway, names, resp, until};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+#[tokio::test]
+async fn rows_come_back_whole_unchanged_and_in_order() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    for n in 0..3 {
+        let got = client.ask(&fields("lookup", 3000, None, &format!("SELECT {n}"))).await.unwrap();
+        assert_eq!(got, expected());
+    }
+}
+
+#[tokio::test]
+async fn login_and_query_may_come_first_and_in_any_pieces() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let mut stream = TcpStream::connect(gateway.mysql).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    let bytes = [login(), query(&fields("lookup", 3000, None, "SELECT 1"))].concat();
+    for piece in bytes.chunks(7) {
+        stream.write_all(piece).await.unwrap();
+        tokio::task::yield_now().await;
+    }
+    let mut client = Client { stream, id: 0 };
+    assert_eq!(client.read().await.unwrap()[0], 10);
+    assert_eq!(client.read().await.unwrap()[0], 0);
+    assert_eq!(client.answer().await.unwrap(), expected());
+}
+
+#[tokio::test]
+async fn bad_fields_get_one_error_and_bad_framing_ends_the_connection() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    for bad in ["SELECT 1", "/* route=nothing,trace=9b1f03aa5c7e2d41,patience=9 */ SELECT 1"] {
+        assert_eq!(client.ended(bad).await, Ended::BadInput);
+    }
+    // A keyed class without its key: a repeat would have a second effect.
+    assert_eq!(client.ended(&fields("batch-post", 900, None, "INSERT")).await, Ended::BadInput);
+    assert_eq!(client.ended(&fields("lookup", 3000, None, "SELECT 1")).await, Ended::Served);
+    client.stream.write_all(&[1, 0, 0, 9, 3]).await.unwrap();
+    assert_eq!(client.read().await.unwrap()[0], 0xff);
+    assert!(client.read().await.is_none());
+}
+
+#[tokio::test]
+async fn a_killed_query_and_a_closed_connection_are_given_up_at_the_engine() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    client.stream.write_all(&query(&fields("statement", 9000, None, "HANG 1"))).await.unwrap();
+    until("the engine has it", || world.attempts("HANG 1") == 1).await;
+    let mut other = Client::connect(gateway.mysql).await;
+    other.ask(&format!("KILL QUERY {}", client.id)).await.unwrap();
+    assert_eq!(client.answer().await.unwrap_err().0, 1317);
+    until("it is given up", || world.was_given_up("HANG 1")).await;
+    // The session lives on; a kill that came too early or late has no effect on the next query.
+    other.ask(&format!("KILL QUERY {}", client.id)).await.unwrap();
+    assert_eq!(client.ended(&fields("lookup", 3000, None, "SELECT 1")).await, Ended::Served);
+    client.stream.write_all(&query(&fields("statement", 9000, None, "HANG 2"))).await.unwrap();
+    until("the engine has it", || world.attempts("HANG 2") == 1).await;
+    drop(client);
+    until("it is given up", || world.was_given_up("HANG 2")).await;
+}
+
+#[tokio::test]
+async fn an_engine_lost_midway_is_made_up_for_elsewhere() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    assert_eq!(client.ask(&fields("statement", 9000, None, "CUT 1")).await.unwrap(), expected());
+    assert_eq!(world.attempts("CUT 1"), 2);
+}
+
+#[tokio::test]
+async fn a_request_out_of_time_is_answered_inside_the_slack() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    let asked = Instant::now();
+    assert_eq!(client.ended(&fields("adjust", 300, None, "HANG 1")).await, Ended::Failed("DEADLINE"));
+    let took = asked.elapsed();
+    assert!(took >= Duration::from_millis(290) && took < Duration::from_millis(900), "{took:?}");
+    until("it is given up", || world.was_given_up("HANG 1")).await;
+}
+
+#[tokio::test]
+async fn a_refused_connection_never_ran_and_is_tried_elsewhere() {
+    // A class that must not run twice may go out again only where the first surely never ran.
+    let world = World::default();
+    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let engines = [closed, resp::engine("b", world.clone()).await];
+    let gateway = gateway(config(&engines), Operator::default()).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    for n in 0..4 {
+        assert_eq!(client.ended(&fields("adjust", 700, None, &format!("SELECT {n}"))).await, Ended::Served);
+    }
+}
+
+#[tokio::test]
+async fn a_draining_engine_gets_nothing_new() {
+    let world = World::default();
+    let engine = |id, address| names::Engine { id, address, draining: false, started_ms: 0 };
+    let (a, b) = (resp::engine("a", world.clone()).await, resp::engine("b", world.clone()).await);
+    let list: names::List = Default::default();
+    *list.lock().unwrap() = (1, vec![engine("s-0", a), engine("s-1", b)]);
+    let (server, told) = names::server(list.clone()).await;
+    let gateway = gateway(
+        reedwalk_gateway::config::Config { names: Some(server), ..config(&[a, b]) },
+        Operator::default(),
+    )
+    .await;
+    let mut client = Client::connect(gateway.mysql).await;
+    for n in 0..4 {
+        client.ended(&fields("lookup", 3000, None, &format!("SELECT {n}"))).await;
+    }
+    assert!(world.sends("a") > 0 && world.sends("b") > 0);
+    {
+        let mut list = list.lock().unwrap();
+        list.0 = 2;
+        list.1[0].draining = true;
+    }
+    let before = *told.lock().unwrap();
+    until("the news was told", || *told.lock().unwrap() >= before + 2).await;
+    let sent = world.sends("a");
+    for n in 10..20 {
+        assert_eq!(client.ended(&fields("lookup", 3000, None, &format!("SELECT {n}"))).await, Ended::Served);
+    }
+    assert_eq!(world.sends("a"), sent);
+}
+
+#[tokio::test]
+async fn closing_finishes_what_was_taken() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    let mut idle = Client::connect(gateway.mysql).await;
+    client.stream.write_all(&query(&fields("adjust", 500, None, "HANG 1"))).await.unwrap();
+    until("the engine has it", || world.attempts("HANG 1") == 1).await;
+    let closed = tokio::spawn(gateway.close(tokio::time::Instant::now()));
+    assert_eq!(client.answer().await.unwrap_err().0, 3024);
+    assert!(idle.read().await.is_none());
+    closed.await.unwrap();
+}
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -5,6 +5,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use reedwalk_gateway::broker::Rows;
 use reedwalk_gateway::engine::resp::wire::{put_array, read_page, read_reply, take_array};
+use reedwalk_gateway::flight_meta::timeout;
 use reedwalk_gateway::front::mysql::packet::{Writer, read_command, read_login, take_packet};
 use reedwalk_gateway::front::mysql::statement::{group, kill_query, take_fields};
 
@@ -79,6 +80,7 @@
         let _ = (read_login(bytes.clone()), read_command(bytes.clone()), take_fields(&bytes));
         let _ = (group(&bytes), kill_query(&bytes), read_page(&bytes, &mut Rows::default()));
         let _ = reedwalk_gateway::names::dns::read(&garbage, 7);
+        let _ = timeout(&String::from_utf8_lossy(&garbage));
     }
 
     #[test]
@@ -137,7 +139,7 @@
 #[test]
 fn a_result_set_is_written_as_the_protocol_has_it() {
     let cell = |text: &'static str| Some(Bytes::from(text));
-    let rows = Rows { columns: 3, cells: vec![cell("a"), None, cell("c")] };
+    let rows = Rows { columns: 3, cells: vec![cell("a"), None, cell("c")], ..Rows::default() };
     let mut out = BytesMut::new();
     Writer::new(&mut out, 1).rows(&rows);
     let mut packets = Vec::new();
@@ -152,3 +154,11 @@
     assert_eq!(&packets[5][..], b"\x01a\xfb\x01c");
     assert!([4, 6].iter().all(|p| packets[*p].starts_with(&[0xfe]) && packets[*p].len() == 5));
 }
+
+#[test]
+fn a_grpc_timeout_has_at_most_eight_digits_and_a_unit() {
+    use std::time::Duration;
+    assert_eq!(timeout("250m"), Some(Duration::from_millis(250)));
+    assert_eq!(timeout("2S"), Some(Duration::from_secs(2)));
+    assert!(["", "m", "123456789m", "1x", "-1m", "1\u{e9}"].iter().all(|t| timeout(t).is_none()));
+}
