Check contracts and budgets in the broker, in memory or in a shared Redis

A contract names a team, its classes and its budget per window; the broker spends before the module hears of the request, and refuses with the time to the next window. Off without an operator's file.

The names get tests of their own; one showed that a first answer with a high serial was passed over (names/list.rs, Book::take compared with a serial of 0 before anything was told): fixed.

--- a/gateway/src/broker/message.rs
+++ b/gateway/src/broker/message.rs
@@ -1,5 +1,6 @@
 //! What passes between the broker, the fronts and the engine links. No wire appears here.
 
+use crate::contracts::Verdict;
 use bytes::Bytes;
 use reedwalk_core::{Bill, ClassId, EngineEntry, EngineId, LoadReport, Note, Outcome, RequestId};
 use std::any::Any;
@@ -195,6 +196,8 @@
     Left(RequestId),
     /// News of an attempt.
     News(AttemptKey, News),
+    /// Whether a request's team may still spend.
+    Verdict(RequestId, Verdict),
     /// Changed entries of the list of engines.
     Engines(Vec<Listed>),
 }
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -9,12 +9,15 @@
 pub use desk::{Desk, Ticket};
 pub use message::*;
 
+use crate::contracts::{Contracts, Verdict};
 use reedwalk_core::{
     Action, Arrival, AttemptNo, Ended, EngineId, EngineState, Event, Gateway, GroupId, ListScope, Outcome,
     RequestId, Time,
 };
+use reedwalk_settings::Deployment;
 use slog::{Logger, debug, info, warn};
 use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
@@ -71,6 +74,8 @@
 pub struct Broker<L> {
     gateway: Gateway,
     links: L,
+    contracts: Option<Arc<Contracts>>,
+    queue: mpsc::Sender<Input>,
     log: Logger,
     open: HashMap<RequestId, Open>,
     attempts: HashMap<AttemptKey, Out>,
@@ -88,12 +93,14 @@
 }
 
 impl<L: EngineLinks> Broker<L> {
-    /// A broker around a module and the links to its engines.
+    /// A broker around a module, the links to its engines and the contracts, if there are any. `queue` is
+    /// the way to itself, for what it must wait for elsewhere.
     pub fn new(
         gateway: Gateway,
         links: L,
-        limits: &reedwalk_core::Limits,
-        open_cap: usize,
+        deployment: &Deployment,
+        contracts: Option<Arc<Contracts>>,
+        queue: mpsc::Sender<Input>,
         log: Logger,
     ) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -106,9 +113,11 @@
             attempts: HashMap::new(),
             due: BTreeSet::new(),
             next_key: 0,
-            open_cap: open_cap.min(OPEN_MOST),
-            max_attempts: limits.max_attempts,
-            retry_after: limits.max_retry_after,
+            contracts,
+            queue,
+            open_cap: deployment.sockets.open_cap.min(OPEN_MOST),
+            max_attempts: deployment.core.limits.max_attempts,
+            retry_after: deployment.core.limits.max_retry_after,
             wake: Some(now),
             epoch: (unix.as_micros() as u64, now),
             pending: Vec::new(),
@@ -117,7 +126,7 @@
         }
     }
 
-    /// Runs until all senders of its queue are gone.
+    /// Runs for as long as the program does.
     pub async fn run(mut self, mut queue: mpsc::Receiver<Input>) {
         let mut batch = Vec::with_capacity(BATCH);
         loop {
@@ -144,6 +153,11 @@
         match input {
             Input::Arrival(id, ask, reply) => self.arrive(id, *ask, reply, now),
             Input::Left(id) => self.left(id),
+            Input::Verdict(id, Verdict::Admitted) => self.admit(id, now),
+            Input::Verdict(id, Verdict::Spent(after)) => {
+                self.answer(id, Answer::Refused { why: Refusal::Budget, retry_after: Some(after) });
+                self.settle(id);
+            }
             Input::News(key, News::Noted(note)) => {
                 if let Some(out) = self.attempts.get(&key) {
                     self.pending.push(Event::Noted { request: out.request, attempt: out.number, note });
@@ -174,6 +188,33 @@
             let _ = reply.send(Answer::Refused { why: Refusal::Shed, retry_after: self.retry_after });
             return;
         }
+        let due = match self.contracts.as_ref().map(|c| c.cover(ask.team.as_deref(), ask.class)).transpose() {
+            Ok(due) => due,
+            Err(why) => {
+                self.tally.refused += 1;
+                let _ = reply.send(Answer::Refused { why, retry_after: None });
+                return;
+            }
+        };
+        self.due.insert((ask.deadline + OVERDUE, Due::Request(id)));
+        let reply = Some(reply);
+        self.open.insert(id, Open { ask, reply, attempts: 0, out: Vec::new(), memory_mb: None, priority: 1 });
+        match (due, self.contracts.clone()) {
+            (Some(due), Some(contracts)) => {
+                let queue = self.queue.clone();
+                // A shared store may take a while; the module hears of the request when it has been paid for.
+                tokio::spawn(async move {
+                    let verdict = contracts.spend(&due).await;
+                    let _ = queue.send(Input::Verdict(id, verdict)).await;
+                });
+            }
+            _ => self.admit(id, now),
+        }
+    }
+
+    /// Tells the module of a request that may go on.
+    fn admit(&mut self, id: RequestId, now: Instant) {
+        let Some(ask) = self.open.get(&id).filter(|o| o.reply.is_some()).map(|o| &o.ask) else { return };
         self.pending.push(Event::Arrival(Arrival {
             request: id,
             class: ask.class,
@@ -185,9 +226,6 @@
             memory_mb: ask.memory_mb,
             repeated: ask.repeated,
         }));
-        self.due.insert((ask.deadline + OVERDUE, Due::Request(id)));
-        let reply = Some(reply);
-        self.open.insert(id, Open { ask, reply, attempts: 0, out: Vec::new(), memory_mb: None, priority: 1 });
     }
 
     fn left(&mut self, id: RequestId) {
--- a/gateway/src/cli.rs
+++ b/gateway/src/cli.rs
@@ -67,6 +67,14 @@
                 .map_err(|e| e.to_string())?;
             let classes = config.deployment.sockets.classes.join(", ");
             println!("{}: listens on {}, classes {classes}", config.name, config.listen);
+            let log = Logger::root(slog::Discard, o!());
+            let contracts =
+                serve::contracts(&operator, &config.deployment, &log).map_err(|e| e.to_string())?;
+            let teams = operator.contracts.as_ref().map_or(0, Vec::len);
+            println!(
+                "contracts: {}",
+                if contracts.is_some() { format!("{teams} teams") } else { "off".into() }
+            );
             match operator.flight {
                 Some(flight) => {
                     println!("flight: listens on {}, engines {:?}", flight.listen, operator.engines)
--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -5,6 +5,7 @@
 pub mod statement;
 
 use crate::broker::Desk;
+use crate::contracts::Contracts;
 use crate::shutdown::{Phase, closing};
 use packet::Writer;
 use reedwalk_settings::Deployment;
@@ -34,10 +35,10 @@
 }
 
 /// What all sessions share.
-#[derive(Debug)]
 pub struct Front {
     desk: Desk,
     deployment: Arc<Deployment>,
+    contracts: Option<Arc<Contracts>>,
     sessions_most: usize,
     sessions: AtomicUsize,
     running: Running,
@@ -50,12 +51,13 @@
     pub fn new(
         desk: Desk,
         deployment: Arc<Deployment>,
+        contracts: Option<Arc<Contracts>>,
         sessions_most: usize,
         seed: u64,
         log: Logger,
     ) -> Self {
         let sessions = AtomicUsize::new(0);
-        Self { desk, deployment, sessions_most, sessions, running: Running::default(), seed, log }
+        Self { desk, deployment, contracts, sessions_most, sessions, running: Running::default(), seed, log }
     }
 
     /// Accepts sessions until the phase tells it to close. `alive` is held by each until it has ended.
--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -7,6 +7,7 @@
 use crate::shutdown::{Phase, closing};
 use bytes::{Bytes, BytesMut};
 use reedwalk_core::{ClassId, Effect};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -36,13 +37,14 @@
     front: &'a Front,
     stream: TcpStream,
     id: u32,
+    team: Arc<str>,
     input: BytesMut,
     out: BytesMut,
 }
 
 impl<'a> Session<'a> {
     pub fn new(front: &'a Front, stream: TcpStream, id: u32) -> Self {
-        Self { front, stream, id, input: BytesMut::new(), out: BytesMut::new() }
+        Self { front, stream, id, team: Arc::from(""), input: BytesMut::new(), out: BytesMut::new() }
     }
 
     pub async fn run(mut self, mut phase: watch::Receiver<Phase>) {
@@ -64,7 +66,11 @@
             }
             timeout_at(by, self.fill()).await.map_err(|_| Closed::ByUs)??;
         };
-        if !login.empty_password || &login.user[..] != b"app" {
+        // The platform's one user, or a team that has a contract here.
+        let team = std::str::from_utf8(&login.user).unwrap_or_default();
+        let known = team == "app" || self.front.contracts.as_ref().is_some_and(|c| c.knows(team));
+        self.team = Arc::from(team);
+        if !login.empty_password || !known {
             Writer::new(&mut self.out, 2).error(1045, b"28000", "access denied");
             return self.flush(by).await;
         }
@@ -167,7 +173,7 @@
         Ok(Ask {
             trace: fields.trace.into(),
             class: ClassId(class),
-            team: None,
+            team: Some(self.team.clone()),
             deadline: now + patience,
             repeated: fields.redo,
             nonce: fields.nonce.map(Bytes::from),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod broker;
 pub mod cli;
 pub mod config;
+pub mod contracts;
 pub mod engine;
 pub mod flight_meta;
 pub mod front;
@@ -11,3 +12,4 @@
 pub mod operator;
 pub mod serve;
 pub mod shutdown;
+pub mod store;
--- a/gateway/src/names/list.rs
+++ b/gateway/src/names/list.rs
@@ -50,7 +50,8 @@
 #[derive(Debug)]
 pub struct Book {
     sockets: Arc<Sockets>,
-    serial: u32,
+    /// None before anything was told: the first answer holds whatever its serial.
+    serial: Option<u32>,
     ids: HashMap<String, EngineId>,
     listed: BTreeMap<EngineId, Listed>,
 }
@@ -63,11 +64,11 @@
 impl Book {
     /// An empty list.
     pub fn new(sockets: Arc<Sockets>) -> Self {
-        Self { sockets, serial: 0, ids: HashMap::new(), listed: BTreeMap::new() }
+        Self { sockets, serial: None, ids: HashMap::new(), listed: BTreeMap::new() }
     }
 
     /// Number of the last event taken in.
-    pub fn serial(&self) -> u32 {
+    pub fn serial(&self) -> Option<u32> {
         self.serial
     }
 
@@ -113,14 +114,14 @@
                 self.drop_others(&named, &mut changes);
             }
         }
-        self.serial = known.seq;
+        self.serial = Some(known.seq);
         Ok(changes)
     }
 
     /// Takes in an answer of the name server: the whole list. One that is no later tells nothing new.
     pub fn take(&mut self, answer: dns::Answer) -> Vec<Listed> {
         let mut changes = Vec::new();
-        if !later(answer.serial, self.serial) {
+        if self.serial.is_some_and(|s| !later(answer.serial, s)) {
             return changes;
         }
         let mut named = HashSet::new();
@@ -150,7 +151,7 @@
         }
         self.drop_others(&named, &mut changes);
         if whole {
-            self.serial = answer.serial;
+            self.serial = Some(answer.serial);
         }
         changes
     }
--- a/gateway/src/names/mod.rs
+++ b/gateway/src/names/mod.rs
@@ -38,7 +38,7 @@
                     Ok(answer) => {
                         let changes = book.take(answer);
                         if !changes.is_empty() {
-                            info!(log, "engines"; "serial" => book.serial(), "changed" => ?changes);
+                            info!(log, "engines"; "serial" => ?book.serial(), "changed" => ?changes);
                             if queue.send(Input::Engines(changes)).await.is_err() {
                                 return;
                             }
--- a/gateway/src/operator.rs
+++ b/gateway/src/operator.rs
@@ -1,5 +1,6 @@
 //! An operator's file: what the platform does not know of and leaves off. JSON; unknown keys are an error.
 
+use crate::contracts::Contract;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -14,6 +15,17 @@
     FlightSql,
 }
 
+/// Where budgets are counted.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Store {
+    /// In each front end, which grants its even share.
+    #[default]
+    Memory,
+    /// In a Redis at this URL, shared by all front ends.
+    Redis(String),
+}
+
 /// The Flight SQL front.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -37,4 +49,8 @@
     pub flight: Option<FlightFront>,
     /// How the engines are reached.
     pub engines: EngineWire,
+    /// Contracts of the teams; with none nothing is checked.
+    pub contracts: Option<Vec<Contract>>,
+    /// Where budgets are counted.
+    pub store: Store,
 }
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -2,14 +2,17 @@
 
 use crate::broker::{Broker, Desk, EngineLinks, Input, QUEUE};
 use crate::config::Config;
+use crate::contracts::{BadContract, Contracts};
 use crate::engine::{flight, resp};
 use crate::front;
 use crate::front::flight::Service;
 use crate::front::mysql::Front;
 use crate::names::{self, list::Book};
-use crate::operator::{EngineWire, Operator};
+use crate::operator::{EngineWire, Operator, Store};
 use crate::shutdown::{self, Phase};
+use crate::store::{Redis, StoreError};
 use reedwalk_core::Gateway;
+use reedwalk_settings::Deployment;
 use slog::{Logger, info, o};
 use std::fmt;
 use std::net::SocketAddr;
@@ -28,6 +31,10 @@
     Settings(reedwalk_core::SettingsError),
     /// The list of the start can't be read.
     Known(serde_json::Error),
+    /// A contract makes no sense.
+    Contract(BadContract),
+    /// The shared store is not named as one.
+    Store(StoreError),
 }
 
 impl fmt::Display for ServeError {
@@ -36,6 +43,8 @@
             Self::Io(what, error) => write!(f, "{what}: {error}"),
             Self::Settings(error) => write!(f, "{error}"),
             Self::Known(error) => write!(f, "known: {error}"),
+            Self::Contract(error) => write!(f, "{error}"),
+            Self::Store(error) => write!(f, "store: {error}"),
         }
     }
 }
@@ -77,7 +86,7 @@
     let mut book = Book::new(sockets.clone());
     if let Some(known) = &config.known {
         let changes = book.start(known).map_err(ServeError::Known)?;
-        info!(log, "start"; "name" => &config.name, "engines" => changes.len(), "serial" => book.serial());
+        info!(log, "start"; "name" => &config.name, "engines" => changes.len(), "serial" => ?book.serial());
         let _ = queue.send(Input::Engines(changes)).await;
     }
     let links: Box<dyn EngineLinks> = match operator.engines {
@@ -85,7 +94,8 @@
         EngineWire::FlightSql => Box::new(flight::Links::new(sockets.clone(), queue.clone())),
     };
     let broker_log = log.new(o!("part" => "broker"));
-    let broker = Broker::new(gateway, links, &deployment.core.limits, sockets.open_cap, broker_log);
+    let contracts = contracts(&operator, &deployment, log)?.map(Arc::new);
+    let broker = Broker::new(gateway, links, &deployment, contracts.clone(), queue.clone(), broker_log);
     tokio::spawn(broker.run(inputs));
     if let Some(server) = config.names {
         let log = log.new(o!("part" => "names"));
@@ -107,12 +117,33 @@
         }
         None => None,
     };
-    let front = Front::new(desk, deployment.clone(), most, config.seed, log.clone());
+    let front = Front::new(desk, deployment.clone(), contracts, most, config.seed, log.clone());
     tokio::spawn(Arc::new(front).serve(listener, phases, alive));
     let longest = deployment.core.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     Ok(Running { mysql, flight, longest, phase, ended })
 }
 
+/// The contracts of an operator's file; none, and nothing is checked.
+///
+/// # Errors
+/// Where they make no sense.
+pub fn contracts(
+    operator: &Operator,
+    deployment: &Deployment,
+    log: &Logger,
+) -> Result<Option<Contracts>, ServeError> {
+    let Some(contracts) = &operator.contracts else { return Ok(None) };
+    let shared = match &operator.store {
+        Store::Memory => None,
+        Store::Redis(url) => Some(Box::new(Redis::new(url).map_err(ServeError::Store)?) as Box<_>),
+    };
+    let log = log.new(o!("part" => "contracts"));
+    let classes = &deployment.sockets.classes;
+    Contracts::new(contracts, classes, deployment.core.gateways, shared, log)
+        .map(Some)
+        .map_err(ServeError::Contract)
+}
+
 async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), ServeError> {
     let listener = TcpListener::bind(address).await.map_err(|e| ServeError::Io("listen", e))?;
     let address = listener.local_addr().map_err(|e| ServeError::Io("listen", e))?;
--- /dev/null
+++ b/gateway/tests/names.rs
@@ -0,0 +1,92 @@
+//! The list of engines: known events, then DNS answers; nothing unsound may empty it.
+
+mod support;
+
+use hickory_proto::op::ResponseCode;
+use reedwalk_core::{EngineState, Time};
+use reedwalk_gateway::broker::Listed;
+use reedwalk_gateway::names::dns::{BadAnswer, query, read};
+use reedwalk_gateway::names::list::Book;
+use std::sync::Arc;
+use support::names::{Engine, answer};
+
+fn engine(id: &'static str, last: u8) -> Engine {
+    Engine { id, address: ([10, 1, 0, last], 8080).into(), draining: false, started_ms: 0 }
+}
+
+fn book() -> Book {
+    let sockets = reedwalk_settings::read(&support::settings()).unwrap().sockets;
+    Book::new(Arc::new(sockets))
+}
+
+fn told(book: &mut Book, serial: u32, engines: &[Engine]) -> Vec<Listed> {
+    book.take(read(&answer(7, serial, engines).to_vec().unwrap(), 7).unwrap())
+}
+
+#[test]
+fn answers_change_the_list_by_serial_and_absent_engines_are_gone() {
+    let mut book = book();
+    let first = book.start(&support::known(&["10.1.0.1:8080".parse().unwrap()])).unwrap();
+    assert_eq!(
+        first[0].entry.engine,
+        told(&mut book, 2, &[engine("s-0", 1), engine("s-1", 2)])[0].entry.engine.min(first[0].entry.engine)
+    );
+    assert!(told(&mut book, 2, &[]).is_empty(), "no later serial, no news");
+    assert!(told(&mut book, 1, &[]).is_empty());
+    // An address that is used again belongs to a new engine.
+    let changes = told(&mut book, 3, &[engine("s-0", 1), engine("s-9", 2)]);
+    let states: Vec<_> = changes.iter().map(|c| (c.entry.state, c.address.ip().to_string())).collect();
+    assert_eq!(states, [(EngineState::InService, "10.1.0.2".into()), (EngineState::Gone, "10.1.0.2".into())]);
+    assert_ne!(changes[0].entry.engine, changes[1].entry.engine);
+    // Draining and a late start are told; what has not changed is not.
+    let changes = told(
+        &mut book,
+        4,
+        &[Engine { draining: true, started_ms: 1_700_000_000_123, ..engine("s-0", 1) }, engine("s-9", 2)],
+    );
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].entry.state, EngineState::Draining);
+    assert_eq!(changes[0].entry.started, Some(Time(1_700_000_000_123_000)));
+    // Serials wrap around.
+    let mut book = self::book();
+    told(&mut book, u32::MAX, &[engine("s-0", 1)]);
+    assert_eq!(told(&mut book, 3, &[]).len(), 1);
+}
+
+#[test]
+fn a_record_without_its_address_leaves_its_engine_as_it_was() {
+    let mut book = book();
+    told(&mut book, 1, &[engine("s-0", 1), engine("s-1", 2)]);
+    let mut cut = answer(7, 2, &[engine("s-0", 1), engine("s-1", 2)]);
+    cut.additionals.clear();
+    assert!(book.take(read(&cut.to_vec().unwrap(), 7).unwrap()).is_empty());
+    // One never heard of stays open: the same serial is taken again when its address comes.
+    let mut cut = answer(7, 3, &[engine("s-0", 1), engine("s-1", 2), engine("s-2", 3)]);
+    cut.additionals.clear();
+    assert!(book.take(read(&cut.to_vec().unwrap(), 7).unwrap()).is_empty());
+    assert_eq!(told(&mut book, 3, &[engine("s-0", 1), engine("s-1", 2), engine("s-2", 3)]).len(), 1);
+}
+
+#[test]
+fn unsound_answers_tell_nothing() {
+    let sound = || answer(7, 2, &[engine("s-0", 1)]);
+    let end = |m: hickory_proto::op::Message| read(&m.to_vec().unwrap(), 7).unwrap_err();
+    let mut message = sound();
+    message.metadata.truncation = true;
+    assert_eq!(end(message), BadAnswer::Truncated);
+    let mut message = sound();
+    message.metadata.response_code = ResponseCode::ServFail;
+    assert_eq!(end(message), BadAnswer::Code(2));
+    let mut message = sound();
+    message.metadata.id = 8;
+    assert_eq!(end(message), BadAnswer::NotOurs);
+    let mut message = sound();
+    message.authorities.clear();
+    assert_eq!(end(message), BadAnswer::NoSerial);
+    let whole = sound().to_vec().unwrap();
+    // Every cut is an error or has lost no engine: nothing that is short empties the list.
+    for size in 0..whole.len() {
+        assert!(read(&whole[..size], 7).is_err(), "{size} of {} bytes", whole.len());
+    }
+    assert_eq!(read(&query(7, true).unwrap(), 7), Err(BadAnswer::NotOurs));
+}
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod flight;
 pub mod mysql;
 pub mod names;
+pub mod redis;
 pub mod resp;
 
 use reedwalk_gateway::config::{Config, Limits};
@@ -63,7 +64,7 @@
 
 pub fn both_fronts(engines: EngineWire) -> Operator {
     let flight = FlightFront { listen: "127.0.0.1:0".parse().unwrap(), connections: 16 };
-    Operator { flight: Some(flight), engines }
+    Operator { flight: Some(flight), engines, ..Operator::default() }
 }
 
 pub async fn gateway(config: Config, operator: Operator) -> Running {
--- a/gateway/tests/support/mysql.rs
+++ b/gateway/tests/support/mysql.rs
@@ -21,11 +21,16 @@
 }
 
 pub fn login() -> Vec<u8> {
+    login_as("app")
+}
+
+pub fn login_as(user: &str) -> Vec<u8> {
     let mut payload = (0x1u32 | 0x8 | 0x200 | 0x8000 | 0x8_0000).to_le_bytes().to_vec();
     payload.extend_from_slice(&(1u32 << 24).to_le_bytes());
     payload.push(45);
     payload.extend_from_slice(&[0; 23]);
-    payload.extend_from_slice(b"app\0\0analytics\0mysql_native_password\0");
+    payload.extend_from_slice(user.as_bytes());
+    payload.extend_from_slice(b"\0\0analytics\0mysql_native_password\0");
     packet(1, &payload)
 }
 
@@ -42,9 +47,13 @@
 
 impl Client {
     pub async fn connect(address: SocketAddr) -> Self {
+        Self::connect_as(address, "app").await
+    }
+
+    pub async fn connect_as(address: SocketAddr, user: &str) -> Self {
         let mut stream = TcpStream::connect(address).await.unwrap();
         // Before the greeting is read, as the protocol page allows.
-        stream.write_all(&login()).await.unwrap();
+        stream.write_all(&login_as(user)).await.unwrap();
         let mut client = Self { stream, id: 0 };
         let greeting = client.read().await.unwrap();
         let version = greeting.iter().position(|b| *b == 0).unwrap() + 1;
