--- a/gateway/src/engine/flight/mod.rs
+++ b/gateway/src/engine/flight/mod.rs
@@ -36,7 +36,7 @@
 impl Links {
     /// Links that report to the broker's queue.
     pub fn new(sockets: Arc<Sockets>, queue: mpsc::Sender<Input>) -> Self {
-        Self { pool: Pool::new(sockets.clone()), tasks: HashMap::new(), sockets, queue }
+        Self { pool: Pool::new(sockets.clone(), None), tasks: HashMap::new(), sockets, queue }
     }
 }
 
--- a/gateway/src/engine/pool.rs
+++ b/gateway/src/engine/pool.rs
@@ -16,8 +16,10 @@
 /// Ids of attempts that were given up are not used again on their connection for so long: an answer that
 /// crossed the KILL would be taken for the new attempt's.
 const SPENT_FOR: Duration = Duration::from_secs(5);
-/// With work out and nothing heard for so long, a connection takes no further attempts: notes come every
-/// half second, and a machine that vanished says nothing on open connections, also after it is back.
+/// With work out and nothing heard for so many times the span between notes, a connection takes no further
+/// attempts: a machine that vanished says nothing on open connections, also after it is back.
+const NOTES_MISSED: u32 = 3;
+/// The same after an attempt there was given up, where there are no notes to be missed.
 const SILENT_AFTER: Duration = Duration::from_millis(1600);
 /// Closed by us this long before the engine would, so that no request crosses its close.
 const CLOSE_EARLY: Duration = Duration::from_secs(1);
@@ -73,6 +75,7 @@
     attempts: HashMap<AttemptKey, (EngineId, u64)>,
     next: u64,
     sockets: Arc<Sockets>,
+    notes: Option<Duration>,
 }
 
 impl<C> Line<C> {
@@ -81,30 +84,32 @@
         self.open.is_empty() && idle + CLOSE_EARLY >= sockets.keepalive
     }
 
-    fn silent(&self, now: Instant) -> bool {
-        // Idle connections say nothing either: only work that is out, or was given up unheard of, counts.
+    fn silent(&self, notes: Option<Duration>, now: Instant) -> bool {
+        // Idle connections say nothing either, nor do long queries where there are no notes: what counts is
+        // notes that should have come, and work that was given up unheard of.
         let quiet = now.saturating_duration_since(self.heard.last(self.used));
-        quiet > SILENT_AFTER && (!self.open.is_empty() || self.heard.suspect.load(Ordering::Relaxed))
+        let missed = notes.is_some_and(|n| quiet > n * NOTES_MISSED && !self.open.is_empty());
+        missed || quiet > SILENT_AFTER && self.heard.suspect.load(Ordering::Relaxed)
     }
 }
 
 impl<C: Handle> Line<C> {
-    fn takes(&mut self, trace: &Bytes, sockets: &Sockets, now: Instant) -> bool {
+    fn takes(&mut self, trace: &Bytes, sockets: &Sockets, notes: Option<Duration>, now: Instant) -> bool {
         while self.spent.front().is_some_and(|s| now.saturating_duration_since(s.0) > SPENT_FOR) {
             self.spent.pop_front();
         }
         !self.handle.closed()
             && !self.idle(sockets, now)
-            && !self.silent(now)
+            && !self.silent(notes, now)
             && self.open.len() < sockets.multiplex
             && self.open.values().chain(self.spent.iter().map(|s| &s.1)).all(|t| t != trace)
     }
 }
 
 impl<C: Handle> Pool<C> {
-    /// A pool with no engines.
-    pub fn new(sockets: Arc<Sockets>) -> Self {
-        Self { engines: HashMap::new(), attempts: HashMap::new(), next: 0, sockets }
+    /// A pool with no engines; `notes` is the span between two notes of what runs, if there are any.
+    pub fn new(sockets: Arc<Sockets>, notes: Option<Duration>) -> Self {
+        Self { engines: HashMap::new(), attempts: HashMap::new(), next: 0, sockets, notes }
     }
 
     /// Takes in where an engine listens; `None` when it is gone.
@@ -130,13 +135,13 @@
     ) -> Option<(&C, &Arc<Heard>)> {
         let engine = self.engines.get_mut(&order.engine)?;
         let address = engine.address?;
-        let sockets = &self.sockets;
+        let (sockets, notes) = (&self.sockets, self.notes);
         // Connections with nothing out that are idle or silent are let go here: dropping the handle closes them.
-        let kept = |l: &Line<C>| !l.handle.closed() && !l.idle(sockets, now) && !l.silent(now);
+        let kept = |l: &Line<C>| !l.handle.closed() && !l.idle(sockets, now) && !l.silent(notes, now);
         engine.lines.retain(|_, l| !l.open.is_empty() || kept(l));
         let usable = engine.lines.iter_mut().filter(|l| l.1.peer == address);
-        let fullest =
-            usable.filter_map(|(n, l)| l.takes(&order.trace, sockets, now).then_some((l.open.len(), *n)));
+        let fullest = usable
+            .filter_map(|(n, l)| l.takes(&order.trace, sockets, notes, now).then_some((l.open.len(), *n)));
         let number = match fullest.max() {
             Some((_, number)) => number,
             None if engine.lines.len() < CONNECTIONS_MOST => {
@@ -186,3 +191,111 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use reedwalk_core::ClassId;
+
+    struct Fake;
+
+    impl Handle for Fake {
+        fn closed(&self) -> bool {
+            false
+        }
+    }
+
+    const ENGINE: EngineId = EngineId(3);
+
+    fn order(key: u64, trace: &'static str, now: Instant) -> Order {
+        Order {
+            key: AttemptKey(key),
+            engine: ENGINE,
+            trace: Bytes::from_static(trace.as_bytes()),
+            class: ClassId(0),
+            deadline: now + Duration::from_secs(60),
+            nonce: None,
+            memory_mb: None,
+            priority: 1,
+            update: false,
+            statement: Bytes::new(),
+        }
+    }
+
+    fn pool(notes: Option<Duration>) -> Pool<Fake> {
+        let sockets = Sockets {
+            classes: Vec::new(),
+            zones: Vec::new(),
+            kinds: Vec::new(),
+            connect_within: Duration::from_millis(250),
+            keepalive: Duration::from_secs(15),
+            multiplex: 2,
+            open_cap: 10,
+        };
+        let mut pool = Pool::new(Arc::new(sockets), notes);
+        pool.place(ENGINE, Some(([127, 0, 0, 1], 1).into()));
+        pool
+    }
+
+    /// Whether an attempt found its engine, and the connections that were opened so far.
+    fn pick(pool: &mut Pool<Fake>, key: u64, trace: &'static str, now: Instant) -> (bool, u64) {
+        let found = pool.pick(&order(key, trace, now), now, |_, _| Fake).is_some();
+        (found, pool.next)
+    }
+
+    const NOTES: Option<Duration> = Some(Duration::from_millis(500));
+
+    #[test]
+    fn a_connection_is_shared_up_to_its_limit() {
+        let (mut pool, now) = (pool(NOTES), Instant::now());
+        let opened: Vec<_> =
+            ["a", "b", "c", "d"].into_iter().zip(0..).map(|(t, k)| pick(&mut pool, k, t, now)).collect();
+        assert_eq!(opened, [(true, 1), (true, 1), (true, 2), (true, 2)]);
+    }
+
+    #[test]
+    fn an_id_that_is_out_or_was_given_up_does_not_share_its_connection() {
+        let (mut pool, now) = (pool(NOTES), Instant::now());
+        assert_eq!(pick(&mut pool, 0, "a", now), (true, 1));
+        pool.release(AttemptKey(0), true);
+        assert_eq!(
+            pick(&mut pool, 1, "a", now),
+            (true, 2),
+            "an answer that crossed the KILL would be its own"
+        );
+        assert_eq!(pick(&mut pool, 2, "b", now).1, 2);
+    }
+
+    #[test]
+    fn silence_counts_where_notes_are_missed_and_not_where_there_are_none() {
+        let later = Duration::from_secs(2);
+        let (mut told, mut untold, now) = (pool(NOTES), pool(None), Instant::now());
+        for pool in [&mut told, &mut untold] {
+            assert_eq!(pick(pool, 0, "a", now), (true, 1));
+        }
+        assert_eq!(pick(&mut told, 1, "b", now + later), (true, 2));
+        assert_eq!(pick(&mut untold, 1, "b", now + later), (true, 1), "a long query is no silence");
+        // A given-up attempt with nothing heard since leaves its connection in doubt in either case.
+        untold.release(AttemptKey(1), true);
+        assert_eq!(pick(&mut untold, 2, "c", now + later), (true, 2));
+    }
+
+    #[test]
+    fn a_connection_about_to_be_closed_as_idle_is_not_used() {
+        let (mut pool, now) = (pool(NOTES), Instant::now());
+        assert_eq!(pick(&mut pool, 0, "a", now), (true, 1));
+        pool.release(AttemptKey(0), false);
+        assert_eq!(pick(&mut pool, 1, "b", now + Duration::from_millis(14_500)), (true, 2));
+    }
+
+    #[test]
+    fn an_engine_that_is_gone_takes_nothing_and_is_forgotten_when_its_work_has_ended() {
+        let (mut pool, now) = (pool(NOTES), Instant::now());
+        assert_eq!(pick(&mut pool, 0, "a", now), (true, 1));
+        pool.place(ENGINE, None);
+        assert!(!pick(&mut pool, 1, "b", now).0);
+        assert!(pool.find(AttemptKey(0)).is_some(), "what is out may still be answered");
+        pool.release(AttemptKey(0), false);
+        assert!(pool.engines.is_empty() && pool.attempts.is_empty());
+    }
+}
--- a/gateway/src/engine/resp/mod.rs
+++ b/gateway/src/engine/resp/mod.rs
@@ -10,6 +10,7 @@
 use reedwalk_settings::Sockets;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -30,9 +31,9 @@
 }
 
 impl Links {
-    /// Links that report to the broker's queue.
-    pub fn new(sockets: Arc<Sockets>, queue: mpsc::Sender<Input>) -> Self {
-        Self { pool: Pool::new(sockets.clone()), sockets, queue }
+    /// Links that report to the broker's queue; `notes` is the span between two notes, if there are any.
+    pub fn new(sockets: Arc<Sockets>, notes: Option<Duration>, queue: mpsc::Sender<Input>) -> Self {
+        Self { pool: Pool::new(sockets.clone(), notes), sockets, queue }
     }
 
     fn command(&mut self, key: AttemptKey, command: Command) {
--- a/gateway/src/names/mod.rs
+++ b/gateway/src/names/mod.rs
@@ -10,61 +10,75 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until};
 
-/// How often the name server is asked, and how long an answer may take: news counts as told 1.5 s after it
-/// happened, asked for or not, so it had better be here by then.
+/// How often the name server is asked: news counts as told 1.5 s after it happened, asked for or not, so it had
+/// better be here by then.
 const EVERY: Duration = Duration::from_millis(250);
+/// Answers to so many of the latest queries are taken: a slow one tells as much as a quick one, and the serial
+/// keeps an old one from undoing a new one.
+const QUERIES_OPEN: u16 = 16;
+/// Without a sound answer for so long, the name server is said to be out of reach.
+const SILENT_AFTER: Duration = Duration::from_secs(2);
 /// Answers hold up to 8,000 bytes.
 const ANSWER_MOST: usize = 9000;
 
 /// Asks the name server again and again and tells the broker what has changed.
 pub async fn watch(server: SocketAddr, mut book: Book, queue: mpsc::Sender<Input>, seed: u64, log: Logger) {
     let mut id = seed as u16;
-    let mut socket: Option<UdpSocket> = None;
     let mut buffer = vec![0; ANSWER_MOST];
-    let mut large = false;
-    // Told once when answers stop, and once when they are back.
-    let mut failing = false;
+    let (mut large, mut silent, mut heard) = (false, false, Instant::now());
     loop {
-        let asked = Instant::now();
-        let next = asked + EVERY;
-        id = id.wrapping_add(1);
-        if socket.is_none() {
-            socket = open(server).await.map_err(|e| warn!(log, "name server"; "error" => %e)).ok();
-        }
-        if let Some(open) = &socket {
-            let asked = ask(open, id, large, next, &mut buffer).await;
-            let sound = matches!(&asked, Ok(Some(size)) if dns::read(&buffer[..*size], id).is_ok());
-            if sound == failing {
-                failing = !sound;
-                warn!(log, "name server"; "answers" => sound, "serial" => ?book.serial());
+        let socket = match open(server).await {
+            Ok(socket) => socket,
+            Err(error) => {
+                warn!(log, "name server"; "error" => %error);
+                sleep_until(Instant::now() + EVERY).await;
+                continue;
             }
-            match asked {
-                Ok(None) => debug!(log, "name server silent"),
-                Ok(Some(size)) => match dns::read(&buffer[..size], id) {
-                    Ok(answer) => {
-                        let changes = book.take(answer);
-                        if !changes.is_empty() {
-                            info!(log, "engines"; "serial" => ?book.serial(), "changed" => ?changes);
-                            if queue.send(Input::Engines(changes)).await.is_err() {
-                                return;
+        };
+        let mut next = Instant::now();
+        // Until the socket fails, as it does when nothing listens there; then it is opened anew.
+        loop {
+            tokio::select! {
+                () = sleep_until(next) => {
+                    next = Instant::now() + EVERY;
+                    id = id.wrapping_add(1);
+                    let query = dns::query(id, large).unwrap_or_default();
+                    if socket.send(&query).await.is_err() {
+                        break;
+                    }
+                    if !silent && heard.elapsed() > SILENT_AFTER {
+                        silent = true;
+                        warn!(log, "name server silent"; "serial" => ?book.serial());
+                    }
+                }
+                received = socket.recv(&mut buffer) => {
+                    let Ok(size) = received else { break };
+                    match dns::read(&buffer[..size], id, QUERIES_OPEN) {
+                        Ok(answer) => {
+                            heard = Instant::now();
+                            if std::mem::take(&mut silent) {
+                                info!(log, "name server back"; "serial" => answer.serial);
+                            }
+                            let changes = book.take(answer);
+                            if !changes.is_empty() {
+                                info!(log, "engines"; "serial" => ?book.serial(), "changed" => ?changes);
+                                if queue.send(Input::Engines(changes)).await.is_err() {
+                                    return;
+                                }
                             }
                         }
+                        Err(dns::BadAnswer::Truncated) if !large => large = true,
+                        Err(error) => debug!(log, "name server"; "answer" => %error),
                     }
-                    Err(dns::BadAnswer::Truncated) if !large => large = true,
-                    Err(error) => debug!(log, "name server"; "answer" => %error),
-                },
-                Err(error) => {
-                    debug!(log, "name server"; "error" => %error);
-                    socket = None;
                 }
             }
         }
         if queue.is_closed() {
             return;
         }
-        tokio::time::sleep_until(next).await;
+        sleep_until(next).await;
     }
 }
 
@@ -73,26 +87,3 @@
     socket.connect(server).await?;
     Ok(socket)
 }
-
-/// Sends one query and waits for its answer until `by`; answers to earlier ones are passed over.
-async fn ask(
-    socket: &UdpSocket,
-    id: u16,
-    large: bool,
-    by: Instant,
-    buffer: &mut [u8],
-) -> std::io::Result<Option<usize>> {
-    let Some(query) = dns::query(id, large) else { return Ok(None) };
-    socket.send(&query).await?;
-    loop {
-        match timeout_at(by, socket.recv(buffer)).await {
-            Err(_) => return Ok(None),
-            Ok(size) => {
-                let size = size?;
-                if buffer[..size].starts_with(&id.to_be_bytes()) {
-                    return Ok(Some(size));
-                }
-            }
-        }
-    }
-}
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -90,7 +90,9 @@
         let _ = queue.send(Input::Engines(changes)).await;
     }
     let links: Box<dyn EngineLinks> = match operator.engines {
-        EngineWire::Resp => Box::new(resp::Links::new(sockets.clone(), queue.clone())),
+        EngineWire::Resp => {
+            Box::new(resp::Links::new(sockets.clone(), deployment.core.engine.notes_every, queue.clone()))
+        }
         EngineWire::FlightSql => Box::new(flight::Links::new(sockets.clone(), queue.clone())),
     };
     let broker_log = log.new(o!("part" => "broker"));
--- a/gateway/tests/support/names.rs
+++ b/gateway/tests/support/names.rs
@@ -56,3 +56,22 @@
     });
     (address, told)
 }
+
+/// Answers each query with the same list, `late` after it came.
+pub async fn late_server(engines: Vec<Engine>, late: std::time::Duration) -> SocketAddr {
+    let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+    let address = socket.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut buffer = [0; 600];
+        while let Ok((size, from)) = socket.recv_from(&mut buffer).await {
+            let query = Message::from_vec(&buffer[..size]).unwrap();
+            let reply = answer(query.metadata.id, 1, &engines).to_vec().unwrap();
+            let socket = socket.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(late).await;
+                socket.send_to(&reply, from).await.unwrap();
+            });
+        }
+    });
+    address
+}
