Test the broker's one promise: one final answer in time, whatever the engines do

Random requests against engines that serve, fail, say nothing or answer late and twice, on a clock that stands still while anything runs (tokio's test clock): every request is answered by 20 ms after its deadline, keys stay the same, a class that must not run twice never goes out again unless it surely had not run. Further tests: a silent engine holds up no other, sessions past the limit, a full queue, the fields of an order and an answer.

--- /dev/null
+++ b/gateway/tests/broker.rs
@@ -0,0 +1,144 @@
+//! The broker against engines that do anything: one final answer for each request, in time, and no effect twice.
+
+mod support;
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
+use reedwalk_core::{ClassId, EngineEntry, EngineId, Gateway, Outcome};
+use reedwalk_gateway::broker::{
+    Answer, Ask, AttemptKey, Broker, Desk, End, EngineLinks, Input, Listed, News, Order, QUEUE, Refusal, Rows,
+};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// What the engines do with the attempts in turn: an outcome after some milliseconds, or nothing ever.
+type Deeds = Vec<(u8, u64)>;
+
+/// Orders in turn, each with the outcome that the engines gave it.
+type Orders = Arc<Mutex<Vec<(Order, Option<Outcome>)>>>;
+
+#[derive(Clone)]
+struct Engines {
+    deeds: Deeds,
+    orders: Orders,
+    queue: mpsc::Sender<Input>,
+}
+
+impl EngineLinks for Engines {
+    fn place(&mut self, _: EngineId, _: Option<SocketAddr>) {}
+
+    fn start(&mut self, order: Order, _: Instant) -> bool {
+        let mut orders = self.orders.lock().unwrap();
+        let (deed, after) = self.deeds[orders.len() % self.deeds.len()];
+        let outcome = match deed {
+            0..4 => Some(Outcome::Ok),
+            4 => Some(Outcome::Full),
+            5 => Some(Outcome::Error),
+            6 => Some(Outcome::Reset),
+            7 => Some(Outcome::ConnectFailed),
+            _ => None,
+        };
+        let (key, queue) = (order.key, self.queue.clone());
+        orders.push((order, outcome));
+        if let Some(outcome) = outcome {
+            tokio::spawn(async move {
+                sleep(Duration::from_millis(after)).await;
+                let rows = (outcome == Outcome::Ok).then(Rows::default);
+                let end = End { rows, ..outcome.into() };
+                // Twice, and whether it was given up or not: only the first news of what is out may count.
+                for _ in 0..2 {
+                    let _ = queue.send(Input::News(key, News::Ended(end.clone()))).await;
+                }
+            });
+        }
+        true
+    }
+
+    fn stop(&mut self, _: AttemptKey) {}
+    fn boost(&mut self, _: AttemptKey, _: u8) {}
+    fn over(&mut self, _: AttemptKey) {}
+}
+
+fn ask(n: usize, class: usize, deadline: Instant) -> Ask {
+    Ask {
+        trace: Bytes::from(format!("{n:016x}")),
+        class: ClassId(class),
+        team: None,
+        deadline,
+        repeated: false,
+        nonce: (class == 2).then(|| Bytes::from(format!("key-{n}"))),
+        work: Some(Duration::from_millis(200)),
+        memory_mb: None,
+        group: None,
+        update: class == 2,
+        statement: Bytes::from_static(b"SELECT 1"),
+    }
+}
+
+async fn play(requests: Vec<(usize, u64, u64)>, deeds: Deeds) {
+    let deployment = reedwalk_settings::read(&support::settings()).unwrap();
+    let (queue, inputs) = mpsc::channel(QUEUE);
+    let orders = Orders::default();
+    let engines = Engines { deeds, orders: orders.clone(), queue: queue.clone() };
+    let gateway = Gateway::new(deployment.core.clone(), 7).unwrap();
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    tokio::spawn(Broker::new(gateway, engines, &deployment, None, queue.clone(), log).run(inputs));
+    let listed =
+        (1..=3).map(|n| Listed { entry: EngineEntry::new(EngineId(n)), address: ([127, 0, 0, 1], 1).into() });
+    queue.send(Input::Engines(listed.collect())).await.unwrap();
+    let (desk, start) = (Desk::new(queue), Instant::now());
+    let waits = requests.into_iter().enumerate().map(|(n, (class, at, patience))| {
+        let desk = desk.clone();
+        tokio::spawn(async move {
+            let arrives = start + Duration::from_millis(at);
+            sleep_until(arrives).await;
+            let deadline = arrives + Duration::from_millis(patience);
+            let mut ticket = desk.ask(ask(n, class, deadline)).unwrap();
+            assert!(ticket.answer().await.is_some(), "the broker has ended");
+            // The rule's slack is 20 ms; the clock of this test stands still while anything runs.
+            assert!(Instant::now() <= deadline + Duration::from_millis(20), "request {n} was answered late");
+        })
+    });
+    for wait in waits.collect::<Vec<_>>() {
+        wait.await.unwrap();
+    }
+    let orders = orders.lock().unwrap();
+    for (at, (order, _)) in orders.iter().enumerate() {
+        let earlier = || orders[..at].iter().filter(|o| o.0.trace == order.trace);
+        assert!(earlier().count() < 3, "more attempts than are allowed");
+        assert!(earlier().all(|o| o.0.nonce == order.nonce), "the key has changed");
+        let never_ran = |o: &Option<Outcome>| o.is_some_and(Outcome::never_ran);
+        assert!(order.class != ClassId(3) || earlier().all(|o| never_ran(&o.1)), "it may run twice");
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(20_261_201),
+        rng_algorithm: RngAlgorithm::ChaCha,
+        failure_persistence: None,
+        ..Config::with_cases(48)
+    })]
+
+    #[test]
+    fn every_request_gets_one_answer_in_time_whatever_the_engines_do(
+        requests in prop::collection::vec((0usize..4, 0u64..4000, 0u64..5000), 1..60),
+        deeds in prop::collection::vec((0u8..10, 0u64..3000), 1..20),
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
+        runtime.block_on(play(requests, deeds));
+    }
+}
+
+#[tokio::test]
+async fn a_full_queue_refuses_at_once_and_says_when_to_come_back() {
+    let (queue, _inputs) = mpsc::channel(1);
+    let desk = Desk::new(queue);
+    let _first = desk.ask(ask(1, 0, Instant::now())).unwrap();
+    let refused = desk.ask(ask(2, 0, Instant::now())).unwrap_err();
+    assert!(matches!(refused, Answer::Refused { why: Refusal::Shed, retry_after: Some(_) }));
+}
--- a/gateway/tests/mysql_front.rs
+++ b/gateway/tests/mysql_front.rs
@@ -152,3 +152,48 @@
     assert!(idle.read().await.is_none());
     closed.await.unwrap();
 }
+
+#[tokio::test]
+async fn a_silent_engine_holds_up_no_other() {
+    // It accepts connections and reads nothing.
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let world = World::default();
+    let engines = [silent.local_addr().unwrap(), resp::engine("b", world.clone()).await];
+    let gateway = gateway(config(&engines), Operator::default()).await;
+    let mut stuck = Client::connect(gateway.mysql).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    // Of two requests at once one goes to each; the other's client then goes on undisturbed.
+    stuck.stream_query(&fields("statement", 9000, None, "SELECT 0")).await;
+    client.stream_query(&fields("statement", 9000, None, "SELECT 1")).await;
+    let mut served = tokio::select! {
+        answer = stuck.answer() => { answer.unwrap(); stuck }
+        answer = client.answer() => { answer.unwrap(); client }
+    };
+    let asked = Instant::now();
+    for n in 2..12 {
+        assert_eq!(
+            served.ask(&fields("lookup", 9000, None, &format!("SELECT {n}"))).await.unwrap(),
+            expected()
+        );
+    }
+    assert!(asked.elapsed() < Duration::from_secs(3), "{:?}", asked.elapsed());
+    assert!(silent.accept().await.is_ok(), "the silent engine was never tried");
+}
+
+#[tokio::test]
+async fn sessions_past_the_limit_are_refused_and_told_when_to_come_back() {
+    let world = World::default();
+    let engines = [resp::engine("a", world.clone()).await];
+    let mut config = config(&engines);
+    config.limits.sockets = 10;
+    let gateway = gateway(config, Operator::default()).await;
+    let mut open = Vec::new();
+    for _ in 0..6 {
+        open.push(Client::connect(gateway.mysql).await);
+    }
+    let mut refused = Client { stream: TcpStream::connect(gateway.mysql).await.unwrap(), id: 0 };
+    let packet = refused.read().await.unwrap();
+    assert_eq!((packet[0], u16::from_le_bytes([packet[1], packet[2]])), (0xff, 1040));
+    assert!(String::from_utf8_lossy(&packet).contains("pause="));
+    assert_eq!(open[0].ended(&fields("lookup", 3000, None, "SELECT 1")).await, Ended::Served);
+}
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use reedwalk_gateway::broker::Rows;
-use reedwalk_gateway::engine::resp::wire::{put_array, read_page, read_reply, take_array};
+use reedwalk_gateway::engine::resp::wire::{put_array, put_order, read_page, read_reply, take_array};
 use reedwalk_gateway::flight_meta::timeout;
 use reedwalk_gateway::front::mysql::packet::{Writer, read_command, read_login, take_packet};
 use reedwalk_gateway::front::mysql::statement::{group, kill_query, take_fields};
@@ -174,3 +174,54 @@
     assert_eq!(timeout("2S"), Some(Duration::from_secs(2)));
     assert!(["", "m", "123456789m", "1x", "-1m", "1\u{e9}"].iter().all(|t| timeout(t).is_none()));
 }
+
+#[test]
+fn an_order_carries_its_fields_and_leaves_out_what_is_not_set() {
+    use reedwalk_core::{ClassId, EngineId};
+    use reedwalk_gateway::broker::{AttemptKey, Order};
+    use std::time::Duration;
+    let now = tokio::time::Instant::now();
+    let order = |memory_mb, nonce: Option<&'static str>| Order {
+        key: AttemptKey(1),
+        engine: EngineId(1),
+        trace: Bytes::from_static(b"9b1f03aa5c7e2d41"),
+        class: ClassId(0),
+        deadline: now + Duration::from_millis(1500),
+        nonce: nonce.map(|n| Bytes::from_static(n.as_bytes())),
+        memory_mb,
+        priority: 2,
+        update: false,
+        statement: Bytes::from_static(b"SELECT 1"),
+    };
+    let words = |order| {
+        let mut out = BytesMut::new();
+        put_order(&mut out, &order, "report", now);
+        let words = take_array(&mut out).unwrap().unwrap();
+        words.iter().map(|w| String::from_utf8(w.to_vec()).unwrap()).collect::<Vec<_>>()
+    };
+    let full = words(order(Some(95.2), Some("5c0f")));
+    assert_eq!(
+        full,
+        ["PULL", "9b1f03aa5c7e2d41", "lane=report,ttl=1500,band=2,pool=96,dedupe=5c0f", "SELECT 1"]
+    );
+    assert_eq!(words(order(None, None))[2], "lane=report,ttl=1500,band=2");
+}
+
+#[test]
+fn an_answer_is_read_with_its_cost_load_and_note() {
+    let reply =
+        |words: &[&'static str]| read_reply(words.iter().map(|w| Bytes::from_static(w.as_bytes())).collect());
+    let ok =
+        reply(&["t", "200", "total=3,elapsed=820.5,rss=96,rep=inflight:7;util:0.61;x1:nan", "a\tb\tc\n"])
+            .unwrap();
+    assert_eq!((ok.pages, ok.bill.unwrap().work.as_micros(), ok.bill.unwrap().memory_mb), (3, 820_500, 96.0));
+    assert_eq!(
+        (ok.load.unwrap().cpu, ok.load.unwrap().in_flight, ok.load.unwrap().disk),
+        (Some(0.61), Some(7.0), None)
+    );
+    let note = |fields| reply(&["t", "status", fields, ""]).unwrap().note;
+    assert_eq!(note("why=pct,datum=0.5"), Some(reedwalk_core::Note::Progress(0.5)));
+    assert_eq!(note("why=queued,datum=2"), Some(reedwalk_core::Note::WaitsForLoad));
+    assert_eq!(note("-"), None);
+    assert!(reply(&["t", "299", "-", ""]).is_err() && reply(&["t"]).is_err());
+}
