--- a/gateway/tests/flight_front.rs
+++ b/gateway/tests/flight_front.rs
@@ -223,3 +223,19 @@
     assert!(kinds.iter().all(|k| counts.contains_key(k)), "{counts:?}");
     assert_eq!(one.0.lock().unwrap().effects, two.0.lock().unwrap().effects);
 }
+
+#[tokio::test]
+async fn a_refused_connection_never_ran_and_is_tried_elsewhere() {
+    // A class that must not run twice goes out again only where the first surely never ran.
+    let world = World::default();
+    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let engines = [closed, engine("b", world.clone()).await];
+    let gateway = gateway(config(&engines), both_fronts(EngineWire::FlightSql)).await;
+    let client = Client::connect(gateway.flight.unwrap()).await.of("adjust", None);
+    for n in 0..4 {
+        assert_eq!(ended(client.ask(&format!("SELECT {n}")).await), Ended::Served);
+    }
+    // A stream that is cut may have run: it is not sent again, and the caller learns that it failed.
+    assert_eq!(ended(client.ask("CUT 1").await), Ended::Failed("ENGINE"));
+    assert_eq!(world.attempts("CUT 1"), 1);
+}
