Let silent and staying clients make room for others, with a deadline for each stage

The descriptors stood at 171-176 from the first quarter: 153 of 256 is SESSIONS_SHARE. The front refused whoever came past it (front/mysql/mod.rs, Front::session) without a word in the log, while 1,872 clients had asked once and kept their place for good.

Now: places.rs keeps who is silent since when. A newcomer past the limit takes the place of whoever has been silent longest; strangers (no login, no sound request yet, or half a message) hold a quarter at most and push out each other. Login 2.5 s, a begun message 2 s. The login is bounded at 4 KiB, bytes ahead at 16 KiB (was 512 KiB a session), large statements share a tenth of the memory, and the written answer's buffer is let go (it was kept at its largest for every session). The id of an open request is not taken again (it reached the same engines). Figures out of range are refused, and patience past the class's limit counts as the limit, on both fronts.

Tests: places' unit tests, clients_that_stay_for_good..., each_stage_of_a_session_has_its_end, the_id_of_an_open_request...; each fails on the old front.

--- a/gateway/src/broker/message.rs
+++ b/gateway/src/broker/message.rs
@@ -76,6 +76,8 @@
     Engine,
     /// Its time ran out.
     Deadline,
+    /// A request with its id is open; this one was not taken.
+    IdInUse,
 }
 
 /// The one final answer to a request.
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -10,13 +10,14 @@
 pub use message::*;
 
 use crate::contracts::{Contracts, Verdict};
+use bytes::Bytes;
 use reedwalk_core::{
     Action, Arrival, AttemptNo, Ended, EngineId, EngineState, Event, Gateway, GroupId, ListScope, Outcome,
     RequestId, Time,
 };
 use reedwalk_settings::Deployment;
 use slog::{Logger, debug, info, warn};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
@@ -78,6 +79,8 @@
     queue: mpsc::Sender<Input>,
     log: Logger,
     open: HashMap<RequestId, Open>,
+    /// Ids of what is open: an engine would take a second request of that id for the first.
+    traces: HashSet<Bytes>,
     attempts: HashMap<AttemptKey, Out>,
     due: BTreeSet<(Instant, Due)>,
     next_key: u64,
@@ -110,6 +113,7 @@
             links,
             log,
             open: HashMap::new(),
+            traces: HashSet::new(),
             attempts: HashMap::new(),
             due: BTreeSet::new(),
             next_key: 0,
@@ -188,6 +192,11 @@
             let _ = reply.send(Answer::Refused { why: Refusal::Shed, retry_after: self.retry_after });
             return;
         }
+        if self.traces.contains(&ask.trace) {
+            self.tally.failed += 1;
+            let _ = reply.send(Answer::Failed(Failure::IdInUse));
+            return;
+        }
         let due = match self.contracts.as_ref().map(|c| c.cover(ask.team.as_deref(), ask.class)).transpose() {
             Ok(due) => due,
             Err(why) => {
@@ -198,6 +207,7 @@
         };
         self.due.insert((ask.deadline + OVERDUE, Due::Request(id)));
         let reply = Some(reply);
+        self.traces.insert(ask.trace.clone());
         self.open.insert(id, Open { ask, reply, attempts: 0, out: Vec::new(), memory_mb: None, priority: 1 });
         match (due, self.contracts.clone()) {
             (Some(due), Some(contracts)) => {
@@ -279,6 +289,7 @@
             && let Some(open) = self.open.remove(&id)
         {
             self.due.remove(&(open.ask.deadline + OVERDUE, Due::Request(id)));
+            self.traces.remove(&open.ask.trace);
         }
     }
 
--- a/gateway/src/front/flight/result.rs
+++ b/gateway/src/front/flight/result.rs
@@ -61,6 +61,7 @@
 pub fn failed(why: Failure) -> Status {
     match why {
         Failure::Deadline => Status::deadline_exceeded("the query's time ran out"),
+        Failure::IdInUse => Status::already_exists("a query with this id is open"),
         Failure::Engine => {
             let none = std::collections::HashMap::<String, String>::new();
             let details = ErrorDetails::with_error_info("ENGINE", DOMAIN, none);
--- a/gateway/src/front/flight/service.rs
+++ b/gateway/src/front/flight/service.rs
@@ -5,6 +5,7 @@
 use crate::broker::{Answer, Ask, Desk, Refusal, Rows};
 use crate::flight_meta as meta;
 use crate::front::mysql::statement::group;
+use crate::front::{MEMORY_MOST, WORK_MOST};
 use arrow_flight::encode::FlightDataEncoderBuilder;
 use arrow_flight::error::FlightError;
 use arrow_flight::flight_service_server::FlightService;
@@ -56,7 +57,10 @@
 impl Service {
     fn header(&self, metadata: &MetadataMap) -> Result<Header, Status> {
         let text = |name| meta::text(metadata, name);
-        let number = |name| meta::number(metadata, name).transpose().map_err(|()| bad(name));
+        let number = |name, most| match meta::number(metadata, name).transpose() {
+            Ok(value) if value.is_none_or(|v| v <= most) => Ok(value),
+            _ => Err(bad(name)),
+        };
         let class = text(meta::CLASS).ok_or_else(|| bad(meta::CLASS))?;
         let place = self.deployment.sockets.classes.iter().position(|c| c == class);
         let class = ClassId(place.ok_or_else(|| bad(meta::CLASS))?);
@@ -79,8 +83,9 @@
             key,
             repeated: text(meta::RETRY) == Some("1"),
             team: text(meta::TEAM).map(Arc::from),
-            work: number(meta::WORK)?.map(|ms| Duration::from_micros((ms * 1000.0).min(1e15) as u64)),
-            memory_mb: number(meta::MEMORY)?,
+            work: number(meta::WORK, WORK_MOST)?
+                .map(|ms| Duration::from_micros((ms * 1000.0).min(1e15) as u64)),
+            memory_mb: number(meta::MEMORY, MEMORY_MOST)?,
         })
     }
 
--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -1,23 +1,30 @@
 //! The front on the MySQL client protocol.
 
 pub mod packet;
+mod places;
 mod session;
 pub mod statement;
 
 use crate::broker::Desk;
+use crate::config::Limits;
 use crate::contracts::Contracts;
 use crate::shutdown::{Phase, closing};
 use packet::Writer;
+use places::{Counts, Places};
 use reedwalk_settings::Deployment;
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
+/// Share of the descriptors that client sessions may hold; clients keep to a third, engines take a part.
+const SESSIONS_SHARE: f64 = 0.6;
+/// Share of the memory for statements that are not small, as they are read and while they run.
+const STATEMENTS_SHARE: f64 = 0.1;
+
 /// Running queries by connection id, each with the way to end it.
 #[derive(Debug, Default)]
 struct Running(Mutex<HashMap<u32, oneshot::Sender<()>>>);
@@ -39,25 +46,26 @@
     desk: Desk,
     deployment: Arc<Deployment>,
     contracts: Option<Arc<Contracts>>,
-    sessions_most: usize,
-    sessions: AtomicUsize,
+    places: Arc<Places>,
     running: Running,
     seed: u64,
     log: Logger,
 }
 
 impl Front {
-    /// A front that hands its requests in at `desk` and has at most so many sessions.
+    /// A front that hands its requests in at `desk` and keeps to these limits.
     pub fn new(
         desk: Desk,
         deployment: Arc<Deployment>,
         contracts: Option<Arc<Contracts>>,
-        sessions_most: usize,
+        limits: &Limits,
         seed: u64,
         log: Logger,
     ) -> Self {
-        let sessions = AtomicUsize::new(0);
-        Self { desk, deployment, contracts, sessions_most, sessions, running: Running::default(), seed, log }
+        let sessions = (limits.sockets as f64 * SESSIONS_SHARE) as usize;
+        let bytes = (limits.memory_mb * STATEMENTS_SHARE * f64::from(1 << 20)) as usize;
+        let places = Arc::new(Places::new(sessions, bytes));
+        Self { desk, deployment, contracts, places, running: Running::default(), seed, log }
     }
 
     /// Accepts sessions until the phase tells it to close. `alive` is held by each until it has ended.
@@ -68,6 +76,7 @@
         alive: mpsc::Sender<()>,
     ) {
         let mut next = 0u32;
+        let mut told = (Instant::now(), Counts::default());
         loop {
             let stream = tokio::select! {
                 accepted = listener.accept() => match accepted {
@@ -82,25 +91,40 @@
                 () = closing(&mut phase) => return,
             };
             next = next.wrapping_add(1).max(1);
-            let (front, phase, alive) = (self.clone(), phase.clone(), alive.clone());
-            tokio::spawn(async move {
-                front.sessions.fetch_add(1, Ordering::Relaxed);
-                front.session(stream, next, phase).await;
-                front.sessions.fetch_sub(1, Ordering::Relaxed);
-                drop(alive);
-            });
+            let (now, id) = (Instant::now(), next);
+            let _ = stream.set_nodelay(true);
+            match self.places.enter(id, now) {
+                Some(place) => {
+                    let (front, phase, alive) = (self.clone(), phase.clone(), alive.clone());
+                    tokio::spawn(async move {
+                        session::Session::new(&front, stream, id, place, now).run(phase).await;
+                        drop(alive);
+                    });
+                }
+                None => refuse(&stream),
+            }
+            let counts = self.places.counts();
+            if counts != told.1 && now - told.0 >= Duration::from_secs(1) {
+                told = (now, counts);
+                info!(self.log, "places"; "refused" => counts.refused, "let go" => counts.let_go);
+            }
+            // Who was told to make room does so before the next one comes in.
+            tokio::task::yield_now().await;
         }
     }
+}
 
-    async fn session(&self, stream: TcpStream, id: u32, phase: watch::Receiver<Phase>) {
-        let _ = stream.set_nodelay(true);
-        if self.sessions.load(Ordering::Relaxed) > self.sessions_most {
-            let mut out = bytes::BytesMut::new();
-            Writer::new(&mut out, 0).error(1040, b"08004", "too many connections, pause=1000");
-            // Fits any fresh socket's buffer; whether it arrives is the client's affair.
-            let _ = stream.try_write(&out);
+/// Turns a newcomer away. What it has sent is read first: a close over unread bytes would be a reset, which
+/// can overtake the answer.
+fn refuse(stream: &TcpStream) {
+    let mut out = bytes::BytesMut::new();
+    Writer::new(&mut out, 0).error(1040, b"08004", "too many connections, pause=1000");
+    // Fits any fresh socket's buffer; whether it arrives is the client's affair.
+    let _ = stream.try_write(&out);
+    let mut sent = [0; 4096];
+    for _ in 0..4 {
+        if !matches!(stream.try_read(&mut sent), Ok(n) if n > 0) {
             return;
         }
-        session::Session::new(self, stream, id).run(phase).await;
     }
 }
--- a/gateway/src/front/mysql/packet.rs
+++ b/gateway/src/front/mysql/packet.rs
@@ -39,22 +39,30 @@
 
 impl std::error::Error for BadFraming {}
 
-/// Takes the next whole packet off the front of `buffer`, which must bear the number `sequence`; `None` if it
-/// has not all come.
+/// Size of the packet that `buffer` begins with, which must bear the number `sequence`; 0 while its head has not
+/// come.
 ///
 /// # Errors
 /// Where it is too large or out of turn.
-pub fn take_packet(buffer: &mut BytesMut, sequence: u8) -> Result<Option<Bytes>, BadFraming> {
-    if buffer.len() < 4 {
-        return Ok(None);
-    }
-    let size = usize::from(buffer[0]) | usize::from(buffer[1]) << 8 | usize::from(buffer[2]) << 16;
-    if buffer[3] != sequence {
+pub fn size(buffer: &[u8], sequence: u8) -> Result<usize, BadFraming> {
+    let &[a, b, c, number, ..] = buffer else { return Ok(0) };
+    let size = usize::from(a) | usize::from(b) << 8 | usize::from(c) << 16;
+    if number != sequence {
         return Err(BadFraming("packet out of turn"));
     }
     if size > PACKET_MOST {
         return Err(BadFraming("packet too large"));
     }
+    Ok(size)
+}
+
+/// Takes the next whole packet off the front of `buffer`, which must bear the number `sequence`; `None` if it
+/// has not all come.
+///
+/// # Errors
+/// Where it is too large or out of turn.
+pub fn take_packet(buffer: &mut BytesMut, sequence: u8) -> Result<Option<Bytes>, BadFraming> {
+    let size = size(buffer, sequence)?;
     if buffer.len() < 4 + size {
         return Ok(None);
     }
--- /dev/null
+++ b/gateway/src/front/mysql/places.rs
@@ -0,0 +1,244 @@
+//! Who holds a session's place, and who gives it up. Descriptors are few, and some clients connect and say
+//! nothing, or ask once and stay for good: when places run out, who has been silent longest makes room.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Share of the places that may be held by those who have not logged in.
+const STRANGERS_SHARE: f64 = 0.25;
+/// Sessions told to make room may still be there while newcomers take theirs: so many at most.
+const OVERLAP_MOST: usize = 8;
+/// Statements up to this size need no part of the memory that all sessions share.
+const SMALL: usize = 8 * 1024;
+
+/// What a session is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// It has not logged in since then.
+    Stranger(Instant),
+    /// It has asked for nothing since then.
+    Idle(Instant),
+    /// Its request is here, wholly or in part.
+    Busy,
+}
+
+#[derive(Debug)]
+struct Held {
+    stage: Stage,
+    leave: Arc<Notify>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    held: HashMap<u32, Held>,
+    /// Those who could make room, by how long they have been silent; never one that was told to.
+    strangers: BTreeSet<(Instant, u32)>,
+    idle: BTreeSet<(Instant, u32)>,
+    bytes: usize,
+    counts: Counts,
+}
+
+/// What has become of those who came.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Turned away: all places are held by requests.
+    pub refused: u64,
+    /// Let go in favour of others.
+    pub let_go: u64,
+}
+
+/// All places.
+#[derive(Debug)]
+pub struct Places {
+    most: usize,
+    bytes_most: usize,
+    table: Mutex<Table>,
+}
+
+/// One session's place, until it is dropped.
+#[derive(Debug)]
+pub struct Place {
+    places: Arc<Places>,
+    id: u32,
+    /// Told when it is to make room.
+    pub leave: Arc<Notify>,
+}
+
+/// A part of the memory for large statements, until it is dropped.
+#[derive(Debug)]
+pub struct Room {
+    places: Arc<Places>,
+    bytes: usize,
+}
+
+impl Table {
+    /// Changes a session's stage; the line it waits in goes by that.
+    fn stage(&mut self, id: u32, stage: Stage) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        match std::mem::replace(&mut held.stage, stage) {
+            Stage::Stranger(since) => self.strangers.remove(&(since, id)),
+            Stage::Idle(since) => self.idle.remove(&(since, id)),
+            Stage::Busy => false,
+        };
+        match stage {
+            Stage::Stranger(since) => self.strangers.insert((since, id)),
+            Stage::Idle(since) => self.idle.insert((since, id)),
+            Stage::Busy => false,
+        };
+    }
+
+    /// Tells whoever has been silent longest to leave: a stranger, else one that asks for nothing.
+    fn make_room(&mut self, strangers_first: bool) -> bool {
+        let stranger = self.strangers.first().copied();
+        let idle = self.idle.first().copied();
+        let (id, line) = match (stranger, idle) {
+            (Some(s), _) if strangers_first => (s.1, &mut self.strangers),
+            (_, Some(i)) => (i.1, &mut self.idle),
+            (Some(s), None) => (s.1, &mut self.strangers),
+            (None, None) => return false,
+        };
+        line.pop_first();
+        self.counts.let_go += 1;
+        if let Some(held) = self.held.get(&id) {
+            held.leave.notify_one();
+        }
+        true
+    }
+}
+
+impl Places {
+    /// So many places, and so many bytes of large statements in all of them together.
+    pub fn new(most: usize, bytes_most: usize) -> Self {
+        Self { most, bytes_most, table: Mutex::default() }
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A place for a newcomer, if need be that of another; none where all others are busy.
+    pub fn enter(self: &Arc<Self>, id: u32, now: Instant) -> Option<Place> {
+        let mut table = self.table();
+        let crowded = table.strangers.len() as f64 >= self.most as f64 * STRANGERS_SHARE;
+        let free = table.held.len() < self.most && !crowded;
+        if !free && (table.held.len() >= self.most + OVERLAP_MOST || !table.make_room(crowded)) {
+            table.counts.refused += 1;
+            return None;
+        }
+        let leave = Arc::new(Notify::new());
+        table.held.insert(id, Held { stage: Stage::Busy, leave: leave.clone() });
+        table.stage(id, Stage::Stranger(now));
+        Some(Place { places: self.clone(), id, leave })
+    }
+
+    /// Counts of what has become of those who came.
+    pub fn counts(&self) -> Counts {
+        self.table().counts
+    }
+}
+
+impl Place {
+    /// Says what the session does now.
+    pub fn stage(&self, stage: Stage) {
+        self.places.table().stage(self.id, stage);
+    }
+
+    /// Room for a statement of that size; none where large statements of others take it all.
+    pub fn room(&self, size: usize) -> Option<Room> {
+        let bytes = if size > SMALL { size } else { 0 };
+        let mut table = self.places.table();
+        if table.bytes + bytes > self.places.bytes_most {
+            return None;
+        }
+        table.bytes += bytes;
+        Some(Room { places: self.places.clone(), bytes })
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut table = self.places.table();
+        table.stage(self.id, Stage::Busy);
+        table.held.remove(&self.id);
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.places.table().bytes -= self.bytes;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    /// Takes places one millisecond apart.
+    fn take(places: &Arc<Places>, ids: std::ops::Range<u32>, start: Instant) -> Vec<Option<Place>> {
+        ids.map(|id| places.enter(id, start + Duration::from_millis(id.into()))).collect()
+    }
+
+    fn told(place: &Option<Place>) -> bool {
+        let leave = &place.as_ref().unwrap().leave;
+        futures::FutureExt::now_or_never(leave.notified()).is_some()
+    }
+
+    #[test]
+    fn the_longest_idle_makes_room_and_the_busy_stay() {
+        let (places, start) = (Arc::new(Places::new(4, 0)), Instant::now());
+        let stages =
+            [Stage::Busy, Stage::Idle(start), Stage::Busy, Stage::Idle(start + Duration::from_secs(1))];
+        let enter = |(id, stage)| {
+            let place = places.enter(id, start)?;
+            place.stage(stage);
+            Some(place)
+        };
+        let held: Vec<_> = (0..).zip(stages).map(enter).collect();
+        assert!(places.enter(9, start).is_some());
+        assert_eq!(held.iter().map(told).collect::<Vec<_>>(), [false, true, false, false]);
+        drop(held);
+        assert!(places.table().idle.is_empty() && places.table().strangers.is_empty());
+        assert!(places.table().held.is_empty());
+    }
+
+    #[test]
+    fn silent_strangers_push_out_each_other_and_not_those_who_have_logged_in() {
+        let (places, start) = (Arc::new(Places::new(8, 0)), Instant::now());
+        let usual = take(&places, 0..1, start);
+        usual[0].as_ref().unwrap().stage(Stage::Idle(start));
+        let silent = take(&places, 1..30, start);
+        assert!(!told(&usual[0]), "a usual client lost its place");
+        assert!(silent[..9].iter().all(|s| s.is_none() || told(s)));
+        assert!(places.table().held.len() <= 8 + OVERLAP_MOST);
+    }
+
+    #[test]
+    fn where_all_are_busy_the_newcomer_is_refused() {
+        let (places, start) = (Arc::new(Places::new(2, 0)), Instant::now());
+        let held: Vec<_> = (0..2)
+            .map(|id| {
+                let place = places.enter(id, start).unwrap();
+                place.stage(Stage::Busy);
+                place
+            })
+            .collect();
+        assert!(places.enter(5, start).is_none());
+        assert_eq!(places.counts(), Counts { refused: 1, let_go: 0 });
+        drop(held);
+        assert!(places.enter(6, start).is_some());
+    }
+
+    #[test]
+    fn large_statements_share_their_memory_and_give_it_back() {
+        let places = Arc::new(Places::new(2, 100_000));
+        let place = places.enter(0, Instant::now()).unwrap();
+        let first = place.room(90_000).unwrap();
+        assert!(place.room(20_000).is_none());
+        assert!(place.room(SMALL).is_some(), "small ones need no part of it");
+        drop(first);
+        assert!(place.room(100_000).is_some());
+    }
+}
--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -2,6 +2,7 @@
 
 use super::Front;
 use super::packet::{self, BadFraming, Command, Writer};
+use super::places::{Place, Room, Stage};
 use super::statement::{self, BadFields};
 use crate::broker::{Answer, Ask, Failure, Refusal, Ticket};
 use crate::shutdown::{Phase, closing};
@@ -12,16 +13,21 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// A client must have logged in by then.
-const LOGIN_BY: Duration = Duration::from_secs(10);
+/// A client must have logged in, and what it has begun to send at first must be whole, this long after it
+/// connected: it is owed an answer or a close within 3 s.
+const LOGIN_BY: Duration = Duration::from_millis(2500);
+/// A login is no larger.
+const LOGIN_MOST: usize = 4 * 1024;
+/// A later message must be whole this long after its first byte.
+const WHOLE_BY: Duration = Duration::from_secs(2);
 /// A client that does not read its answer is let go this long after its deadline.
 const READ_BY: Duration = Duration::from_secs(2);
-/// Longest wait of a client that is believed.
-const PATIENCE_MOST: Duration = Duration::from_secs(600);
 /// Bytes that a client may send ahead while its query runs; the rest stays in the socket.
-const AHEAD_MOST: usize = 512 * 1024;
+const AHEAD_MOST: usize = 16 * 1024;
+/// A buffer that has grown beyond this is not kept while its session is idle.
+const KEPT_MOST: usize = 1024;
 
 /// Why a session ended.
 enum Closed {
@@ -37,14 +43,19 @@
     front: &'a Front,
     stream: TcpStream,
     id: u32,
+    place: Place,
+    since: Instant,
+    /// It has asked for something that made sense.
+    asked: bool,
     team: Arc<str>,
     input: BytesMut,
     out: BytesMut,
 }
 
 impl<'a> Session<'a> {
-    pub fn new(front: &'a Front, stream: TcpStream, id: u32) -> Self {
-        Self { front, stream, id, team: Arc::from(""), input: BytesMut::new(), out: BytesMut::new() }
+    pub fn new(front: &'a Front, stream: TcpStream, id: u32, place: Place, since: Instant) -> Self {
+        let (input, out) = (BytesMut::new(), BytesMut::new());
+        Self { front, stream, id, place, since, asked: false, team: Arc::from(""), input, out }
     }
 
     pub async fn run(mut self, mut phase: watch::Receiver<Phase>) {
@@ -56,15 +67,23 @@
     }
 
     async fn converse(&mut self, phase: &mut watch::Receiver<Phase>) -> Result<(), Closed> {
-        let by = Instant::now() + LOGIN_BY;
+        let by = self.since + LOGIN_BY;
         let scramble = scramble(self.front.seed, self.id);
         Writer::new(&mut self.out, 0).greeting(self.id, scramble);
         self.flush(by).await?;
         let login = loop {
+            if packet::size(&self.input, 1).map_err(Closed::Framing)? > LOGIN_MOST {
+                return Err(Closed::Framing(BadFraming("login too large")));
+            }
             if let Some(packet) = packet::take_packet(&mut self.input, 1).map_err(Closed::Framing)? {
                 break packet::read_login(packet).map_err(Closed::Framing)?;
             }
-            timeout_at(by, self.fill()).await.map_err(|_| Closed::ByUs)??;
+            let leave = self.place.leave.clone();
+            tokio::select! {
+                biased;
+                filled = timeout_at(by, self.fill()) => filled.map_err(|_| Closed::ByUs)??,
+                () = leave.notified() => return Err(Closed::ByUs),
+            }
         };
         // The platform's one user, or a team that has a contract here.
         let team = std::str::from_utf8(&login.user).unwrap_or_default();
@@ -77,31 +96,57 @@
         Writer::new(&mut self.out, 2).ok(0);
         self.flush(by).await?;
         loop {
-            let packet = loop {
-                if let Some(packet) = packet::take_packet(&mut self.input, 0).map_err(Closed::Framing)? {
-                    break packet;
-                }
-                let idle = self.input.is_empty();
-                tokio::select! {
-                    biased;
-                    read = self.stream.read_buf(&mut self.input) => {
-                        if !matches!(read, Ok(n) if n > 0) {
-                            return Err(Closed::ByClient);
-                        }
-                    }
-                    () = closing(phase), if idle => return Ok(()),
-                }
-            };
+            let (packet, room) = self.next(phase).await?;
             match packet::read_command(packet).map_err(Closed::Framing)? {
                 Command::Query(text) => self.query(text).await?,
                 Command::Quit => return Ok(()),
-                Command::Ping | Command::UseDatabase => Writer::new(&mut self.out, 1).ok(0),
+                Command::Ping | Command::UseDatabase => {
+                    self.asked = true;
+                    Writer::new(&mut self.out, 1).ok(0);
+                }
                 Command::Unknown(number) => {
                     let text = format!("unknown command {number}");
                     Writer::new(&mut self.out, 1).error(1047, b"08S01", &text);
                 }
             }
             self.flush(Instant::now() + READ_BY).await?;
+            drop(room);
+        }
+    }
+
+    /// The next command, and the room that it takes. Who asks for nothing, or does not come to an end, may be told
+    /// to make room for others; who has never asked for anything counts as a stranger.
+    async fn next(&mut self, phase: &mut watch::Receiver<Phase>) -> Result<(Bytes, Option<Room>), Closed> {
+        let since = self.since;
+        self.place.stage(if self.asked { Stage::Idle(Instant::now()) } else { Stage::Stranger(since) });
+        if self.input.is_empty() && self.input.capacity() > KEPT_MOST {
+            self.input = BytesMut::new();
+        }
+        let leave = self.place.leave.clone();
+        let (mut room, mut by) = (None, None);
+        loop {
+            let size = packet::size(&self.input, 0).map_err(Closed::Framing)?;
+            if size > 0 && room.is_none() {
+                let no_room = || Closed::Framing(BadFraming("no room for so large a statement"));
+                room = Some(self.place.room(size).ok_or_else(no_room)?);
+            }
+            if let Some(packet) = packet::take_packet(&mut self.input, 0).map_err(Closed::Framing)? {
+                self.place.stage(Stage::Busy);
+                return Ok((packet, room));
+            }
+            let idle = self.input.is_empty();
+            if !idle && by.is_none() {
+                let now = Instant::now();
+                by = Some((since + LOGIN_BY).max(now + WHOLE_BY));
+                self.place.stage(Stage::Stranger(now));
+            }
+            tokio::select! {
+                biased;
+                filled = self.fill() => filled?,
+                () = leave.notified() => return Err(Closed::ByUs),
+                () = closing(phase), if idle => return Err(Closed::ByUs),
+                () = sleep_until(by.unwrap_or(since)), if by.is_some() => return Err(Closed::ByUs),
+            }
         }
     }
 
@@ -122,6 +167,7 @@
                 return Ok(());
             }
         };
+        self.asked = true;
         let deadline = ask.deadline;
         let mut ticket = match self.front.desk.ask(ask) {
             Ok(ticket) => ticket,
@@ -169,12 +215,12 @@
             // Without its key a repeat would have a second effect.
             return Err(BadFields::Absent("nonce"));
         }
-        let patience = Duration::from_millis(fields.patience_ms).min(PATIENCE_MOST);
+        let patience = Duration::from_millis(fields.patience_ms);
         Ok(Ask {
             trace: fields.trace.into(),
             class: ClassId(class),
             team: Some(self.team.clone()),
-            deadline: now + patience,
+            deadline: now + patience.min(self.front.deployment.core.classes[class].deadline),
             repeated: fields.redo,
             nonce: fields.nonce.map(Bytes::from),
             work: fields.weight_ms.map(|ms| Duration::from_micros((ms * 1000.0).min(1e15) as u64)),
@@ -195,7 +241,7 @@
     async fn flush(&mut self, by: Instant) -> Result<(), Closed> {
         if !self.out.is_empty() {
             let written = timeout_at(by, self.stream.write_all(&self.out)).await;
-            self.out.clear();
+            self.out = BytesMut::new();
             written.map_err(|_| Closed::ByUs)?.map_err(|_| Closed::ByClient)?;
         }
         Ok(())
@@ -231,5 +277,6 @@
         }
         Answer::Failed(Failure::Engine) => writer.error(1105, b"HY000", "no engine could serve the query"),
         Answer::Failed(Failure::Deadline) => writer.error(3024, b"HY000", "the query's time ran out"),
+        Answer::Failed(Failure::IdInUse) => writer.error(1062, b"23000", "a query with this id is open"),
     }
 }
--- a/gateway/src/front/mysql/statement.rs
+++ b/gateway/src/front/mysql/statement.rs
@@ -1,10 +1,13 @@
 //! What a statement's text tells: the fields comment, the group of tables, KILL QUERY. Pure functions.
 
+use crate::front::{MEMORY_MOST, WORK_MOST};
 use bytes::Bytes;
 use std::fmt;
 
 /// Longest value of a field that is passed on.
 const VALUE_MOST: usize = 128;
+/// More than a day of patience, in milliseconds, is none.
+const PATIENCE_MOST: u64 = 86_400_000;
 
 /// The fields of a request, as they stand in the comment before its statement.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -62,19 +65,22 @@
         let Some((name, value)) = field.split_once('=') else { continue };
         let (name, value) = (name.trim(), value.trim());
         let plain = value.len() <= VALUE_MOST && value.bytes().all(|b| b.is_ascii_graphic());
-        let number = |name| {
-            let number = value.parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
+        let number = |name, most| {
+            let number = value.parse::<f64>().ok().filter(|v| (0.0..=most).contains(v));
             number.map(Some).ok_or(BadFields::Unsound(name))
         };
         match name {
             "route" if plain => fields.route = value.to_owned(),
             "trace" => fields.trace = value.to_owned(),
-            "patience" => patience = Some(value.parse().map_err(|_| BadFields::Unsound("patience"))?),
+            "patience" => {
+                let ms = value.parse().ok().filter(|ms| (1..=PATIENCE_MOST).contains(ms));
+                patience = Some(ms.ok_or(BadFields::Unsound("patience"))?);
+            }
             "redo" => fields.redo = value == "1",
             "nonce" if plain && !value.is_empty() => fields.nonce = Some(value.to_owned()),
             "nonce" => return Err(BadFields::Unsound("nonce")),
-            "weight" => fields.weight_ms = number("weight")?,
-            "space" => fields.space_mb = number("space")?,
+            "weight" => fields.weight_ms = number("weight", WORK_MOST)?,
+            "space" => fields.space_mb = number("space", MEMORY_MOST)?,
             _ => {}
         }
     }
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -51,8 +51,6 @@
 
 impl std::error::Error for ServeError {}
 
-/// Share of the descriptors that client sessions may hold; clients keep to a third, engines take a part.
-const SESSIONS_SHARE: f64 = 0.6;
 /// What is taken is answered by its deadline; past the longest one and this there is nothing to wait for.
 const LAST: Duration = Duration::from_millis(600);
 
@@ -145,7 +143,6 @@
     let (phase, phases) = watch::channel(Phase::Open);
     let (alive, ended) = mpsc::channel(1);
     let (listener, mysql) = listen(config.listen).await?;
-    let most = (config.limits.sockets as f64 * SESSIONS_SHARE) as usize;
     let flight = match operator.flight {
         Some(front) => {
             let (listener, address) = listen(front.listen).await?;
@@ -157,7 +154,7 @@
         }
         None => None,
     };
-    let front = Front::new(desk, deployment.clone(), contracts, most, config.seed, log.clone());
+    let front = Front::new(desk, deployment.clone(), contracts, &config.limits, config.seed, log.clone());
     tokio::spawn(Arc::new(front).serve(listener, phases, alive));
     let longest = deployment.core.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     Ok(Running { mysql, flight, longest, phase, reloads, ended })
--- a/gateway/tests/mysql_front.rs
+++ b/gateway/tests/mysql_front.rs
@@ -180,20 +180,88 @@
     assert!(silent.accept().await.is_ok(), "the silent engine was never tried");
 }
 
-#[tokio::test]
-async fn sessions_past_the_limit_are_refused_and_told_when_to_come_back() {
+/// A gateway with few places, and what an engine of it saw.
+async fn narrow(sockets: usize) -> (World, reedwalk_gateway::serve::Running) {
     let world = World::default();
     let engines = [resp::engine("a", world.clone()).await];
     let mut config = config(&engines);
-    config.limits.sockets = 10;
-    let gateway = gateway(config, Operator::default()).await;
+    config.limits.sockets = sockets;
+    (world, gateway(config, Operator::default()).await)
+}
+
+#[tokio::test]
+async fn sessions_past_the_limit_are_refused_and_told_when_to_come_back() {
+    let (_world, gateway) = narrow(10).await;
     let mut open = Vec::new();
-    for _ in 0..6 {
-        open.push(Client::connect(gateway.mysql).await);
+    for n in 0..6 {
+        let mut client = Client::connect(gateway.mysql).await;
+        client.stream_query(&fields("statement", 9000, None, &format!("HANG {n}"))).await;
+        open.push(client);
+    }
+    // The first packet of a newcomer, once it is the one that is wanted.
+    let first = async |wanted: u8| {
+        let by = Instant::now() + Duration::from_secs(10);
+        loop {
+            let mut newcomer = Client { stream: TcpStream::connect(gateway.mysql).await.unwrap(), id: 0 };
+            let packet = newcomer.read().await.unwrap_or(vec![0]);
+            if packet[0] == wanted {
+                return packet;
+            }
+            assert!(Instant::now() < by, "waited in vain");
+        }
+    };
+    let refused = first(0xff).await;
+    assert_eq!(u16::from_le_bytes([refused[1], refused[2]]), 1040);
+    assert!(String::from_utf8_lossy(&refused).contains("pause="));
+    // One that has gone leaves its place.
+    drop(open.pop());
+    first(10).await;
+}
+
+#[tokio::test]
+async fn clients_that_stay_for_good_or_say_nothing_cost_the_usual_ones_no_place() {
+    let (_world, gateway) = narrow(40).await;
+    let mut usual = Client::connect(gateway.mysql).await;
+    let (mut kept, mut silent) = (Vec::new(), Vec::new());
+    for n in 0..100 {
+        let mut client = Client::connect(gateway.mysql).await;
+        assert_eq!(client.ended(&fields("lookup", 3000, None, &format!("SELECT {n}"))).await, Ended::Served);
+        kept.push(client);
+        silent.push(TcpStream::connect(gateway.mysql).await.unwrap());
+        // Logged in, and then nothing or half a message.
+        let mut half = TcpStream::connect(gateway.mysql).await.unwrap();
+        half.write_all(&[login(), vec![9, 0, 0, 0, 3]][..1 + n % 2].concat()).await.unwrap();
+        silent.push(half);
+        assert_eq!(usual.ended(&fields("lookup", 3000, None, &format!("U {n}"))).await, Ended::Served);
     }
-    let mut refused = Client { stream: TcpStream::connect(gateway.mysql).await.unwrap(), id: 0 };
-    let packet = refused.read().await.unwrap();
-    assert_eq!((packet[0], u16::from_le_bytes([packet[1], packet[2]])), (0xff, 1040));
-    assert!(String::from_utf8_lossy(&packet).contains("pause="));
-    assert_eq!(open[0].ended(&fields("lookup", 3000, None, "SELECT 1")).await, Ended::Served);
+}
+
+#[tokio::test]
+async fn each_stage_of_a_session_has_its_end() {
+    let (_world, gateway) = narrow(1024).await;
+    let since = Instant::now();
+    let pieces: [&[&[u8]]; 4] = [&[], &[&login()[..20]], &[&login(), &[9, 0, 0, 0, 3]], &[&[0, 255, 0, 1]]];
+    for piece in pieces {
+        let mut client = Client { stream: TcpStream::connect(gateway.mysql).await.unwrap(), id: 0 };
+        client.stream.write_all(&piece.concat()).await.unwrap();
+        // Greeting, OK or error; then the end.
+        while client.read().await.is_some() {}
+    }
+    let took = since.elapsed();
+    assert!(took > Duration::from_secs(5) && took < Duration::from_secs(9), "{took:?}");
+}
+
+#[tokio::test]
+async fn the_id_of_an_open_request_is_not_taken_again() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    let asked = fields("statement", 1500, None, "HANG 1");
+    client.stream_query(&asked).await;
+    until("the engine has it", || world.attempts("HANG 1") == 1).await;
+    let mut other = Client::connect(gateway.mysql).await;
+    assert_eq!(other.ask(&asked.replace("HANG 1", "SELECT 2")).await.unwrap_err().0, 1062);
+    assert_eq!(world.attempts("SELECT 2"), 0);
+    client.answer().await.unwrap_err();
+    assert_eq!(other.ended(&asked.replace("HANG 1", "SELECT 3")).await, Ended::Served);
 }
