Hold a second error against the request, not against a second engine

A probe that printed each error's request: 187 requests of bad clients went to engines, 178 of them three times (551 errors), each error held against its engine (src/policy.rs, ended -> judge). Ruled out: resets and spoilt answers (no such outcome in the probe), the usual rate of errors (under 0.1%).

Now a request's second error ends it and blames nobody.

Test: requests_that_every_engine_answers_with_an_error_put_no_engine_away.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -421,9 +421,7 @@
             engine.reached = false;
             fade(&mut engine.evidence);
         }
-        if ends {
-            fade(&mut self.pool);
-        }
+        ends.then(|| fade(&mut self.pool));
     }
 
     // ---- Routing
@@ -747,7 +745,11 @@
                 engine.threads += width;
             }
         }
-        self.judge(out.engine, outcome, actions);
+        // What errs twice is itself at fault: no engine is blamed again, and a third would say the same.
+        let unsound = outcome == Outcome::Error && std::mem::replace(&mut request.erred, true);
+        if !unsound {
+            self.judge(out.engine, outcome, actions);
+        }
         // A resource that is busy to a share u slows what needs it by about 1 / (1 - u).
         let busy = load.map(|l| [l.cpu, l.disk, l.memory].into_iter().flatten().fold(f64::NAN, f64::max));
         if let Some(busy) = busy.filter(|b| b.is_finite()) {
@@ -768,7 +770,7 @@
             key.rests_until = self.now + us(self.settings.rules.order_settle);
         }
         let target = (request.target, request.seq, id);
-        let again = !closed && outcome != Outcome::Ok && !request.streaming && self.now < request.deadline;
+        let again = !unsound && !request.streaming && self.now < request.deadline;
         self.requests.insert(id, request);
         // Answered before, only its engine and its key were waiting; or answered now.
         if !living || closed || outcome == Outcome::Ok {
@@ -803,10 +805,8 @@
             }
             (self.warm_sent, self.last_period) = (0.0, self.now);
             self.classes.iter_mut().for_each(|c| c.best = c.best.map(|b| b * BEST_DRIFT));
-            let window = us(self.settings.rules.tip_window);
-            for engine in self.engines.values_mut() {
-                engine.expire(self.now, window);
-            }
+            let (now, window) = (self.now, us(self.settings.rules.tip_window));
+            self.engines.values_mut().for_each(|e| e.expire(now, window));
             self.keys.retain(|_, k| !k.line.is_empty() || k.rests_until > self.now);
             let since = self.settings.rules.retry_budget.as_ref().map(|b| self.now - us(b.window));
             self.taken.retain(|t| since.is_some_and(|s| *t >= s));
--- a/src/state.rs
+++ b/src/state.rs
@@ -105,6 +105,8 @@
     /// Projected time of an attempt that was given up as a bad plan.
     pub(crate) given_up_at: Option<f64>,
     pub(crate) priority: u8,
+    /// An engine has answered it with an error.
+    pub(crate) erred: bool,
 }
 
 #[derive(Default)]
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -40,6 +40,20 @@
     assert!(share(&rig, &ids, 0) < 0.1, "{}", share(&rig, &ids, 0));
 }
 
+#[test]
+fn requests_that_every_engine_answers_with_an_error_put_no_engine_away() {
+    let mut rig = Rig::new(settings(), 4);
+    trickle(&mut rig, 40, |_| Some(Outcome::Ok));
+    for _ in 0..40 {
+        // One of four is at fault itself, as those of a broken client.
+        let bad = trickle(&mut rig, 1, |_| Some(Outcome::Error));
+        assert_eq!(rig.sent(bad[0]).len(), 2, "a third engine would say the same");
+        assert!(rig.refused(bad[0]));
+        trickle(&mut rig, 3, |_| Some(Outcome::Ok));
+    }
+    assert!(!rig.logged("quarantine"));
+}
+
 #[test]
 fn an_engine_that_hangs_during_a_list_outage_is_found_and_left() {
     let mut settings = settings();
