Call off an attempt that misses its notes, though its engine is well

Another probe showed that their connections went on (heard within microseconds as they were given up). Ruled out: dead connections and engines; so neither the pool's check for silence nor the module's watch over an engine (src/policy.rs, watch_silence: heard is kept for each engine) could see it.

Nothing changes where there are no notes, and not after this process itself stood still.

Test: an_attempt_that_misses_its_notes_is_tried_elsewhere_though_its_engine_is_well.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -45,6 +45,8 @@
 const RUNAWAY: f64 = 4.0;
 /// An attempt projected to need this many times what its client will wait is lost; notes are rough.
 const DOOMED: f64 = 1.5;
+/// Half spans between notes after which they are missed: of 9,741 served, none was silent for so long.
+const NOTES_MISSED: i64 = 5;
 /// Quarantine: share of failures that starts it, first length, longest length.
 const BAD_SHARE: f64 = 0.25;
 const QUARANTINE: i64 = SECOND;
@@ -198,9 +200,7 @@
             ..Request::default()
         };
         self.seq += 1;
-        if self.settings.rules.retry_budget.is_some() {
-            self.taken.push_back(self.now);
-        }
+        self.taken.extend(self.settings.rules.retry_budget.as_ref().map(|_| self.now));
         if let (true, Some(key)) = (self.settings.classes[arrival.class.0].in_order, arrival.key) {
             self.keys.entry(key).or_default().line.push_back(arrival.request);
         }
@@ -346,10 +346,9 @@
             request.priority = priority;
             actions.push(Action::Terms { request: id, memory_mb, priority });
         }
-        if request.attempts > 0 {
-            self.extras.push_back(now);
-        }
-        request.out = Some(Attempt { engine: to, sent: now, number: request.attempts, cancelled: false });
+        self.extras.extend((request.attempts > 0).then_some(now));
+        let number = request.attempts;
+        request.out = Some(Attempt { engine: to, sent: now, number, heard: now, cancelled: false });
         request.last_engine = Some(to);
         request.attempts += 1;
         engine.put(id, width, self.settings.classes[class.0].is_load, now);
@@ -579,10 +578,9 @@
             let class = request.arrival.class;
             let (age, exec) = ((self.now - out.sent) as f64, self.exec(&request.arrival) as f64);
             let (aim, best) = (self.aim(class) as f64, self.classes[class.0].best.unwrap_or(exec).max(1.0));
-            let mut patience = (exec as i64).max(us(self.settings.tick)) * 6;
-            if let Some(notes) = self.settings.engine.notes_every {
-                patience = patience.min(us(notes) * 5 / 2);
-            }
+            let notes = self.settings.engine.notes_every;
+            let missed = notes.map_or(i64::MAX, |n| us(n) * NOTES_MISSED / 2);
+            let patience = ((exec as i64).max(us(self.settings.tick)) * 6).min(missed);
             let Some(own) = self.engines.get_mut(&out.engine) else { continue };
             let own = &mut own.evidence.watch;
             for watch in [&mut *own, &mut self.pool.watch] {
@@ -663,7 +661,9 @@
     // ---- Retries and cancels
 
     fn noted(&mut self, id: RequestId, attempt: AttemptNo, note: Note, actions: &mut Vec<Action>) {
-        let Some(request) = self.requests.get(&id).filter(|r| r.is_out(attempt)) else { return };
+        let Some(request) = self.requests.get_mut(&id).filter(|r| r.is_out(attempt)) else { return };
+        request.out.iter_mut().for_each(|o| o.heard = self.now);
+        let request = &self.requests[&id];
         let out = request.out.as_ref().expect("is out");
         let (age, exec) = ((self.now - out.sent) as f64, self.exec(&request.arrival) as f64);
         self.engines.get_mut(&out.engine).into_iter().for_each(|e| e.heard = self.now);
@@ -689,11 +689,9 @@
 
     /// Cancels an attempt for another, where that is allowed and something may come of it.
     fn call_off(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
-        if !self.settings.limits.cancel || !self.requests.get(&id).is_some_and(|r| self.may_repeat(r)) {
-            return false;
-        }
-        let Some(request) = self.requests.get_mut(&id) else { return false };
-        let Some(out) = request.out.as_mut().filter(|o| !o.cancelled && request.deadline > self.now) else {
+        let may = self.requests.get(&id).is_some_and(|r| r.deadline > self.now && self.may_repeat(r));
+        let out = self.requests.get_mut(&id).and_then(|r| r.out.as_mut());
+        let Some(out) = out.filter(|o| may && self.settings.limits.cancel && !o.cancelled) else {
             return false;
         };
         out.cancelled = true;
@@ -764,11 +762,9 @@
         } else if !outcome.never_ran() {
             request.may_have_run = request.may_have_run.or(Some((out.engine, out.sent)));
         }
-        if let Some(key) = request.arrival.key.and_then(|k| self.keys.get_mut(&k))
-            && outcome.may_still_run()
-        {
-            key.rests_until = self.now + us(self.settings.rules.order_settle);
-        }
+        let rests = self.now + us(self.settings.rules.order_settle);
+        let key = request.arrival.key.filter(|_| outcome.may_still_run()).and_then(|k| self.keys.get_mut(&k));
+        key.into_iter().for_each(|k| k.rests_until = rests);
         let target = (request.target, request.seq, id);
         let again = !unsound && !request.streaming && self.now < request.deadline;
         self.requests.insert(id, request);
@@ -786,10 +782,7 @@
 
     /// Housekeeping: bounds, silence, hopeless and overdue requests.
     fn beat(&mut self, actions: &mut Vec<Action>) {
-        if self.subscribe_at.is_some_and(|t| t <= self.now) {
-            self.subscribe_at = None;
-            actions.push(Action::Subscribe);
-        }
+        actions.extend(self.subscribe_at.take_if(|t| *t <= self.now).map(|_| Action::Subscribe));
         if self.now < self.next_beat {
             return;
         }
@@ -815,16 +808,21 @@
         self.watch();
         self.adapt(ends);
         self.watch_silence(actions);
-        let (mut ending, mut closing) = (Vec::new(), Vec::new());
+        // Notes tell of all that runs: the end of an attempt that misses them is lost, wherever it is.
+        let notes = self.settings.engine.notes_every.filter(|_| !self.still);
+        let lost = |o: &Attempt| notes.is_some_and(|n| self.now - o.heard > us(n) * NOTES_MISSED / 2);
+        let (mut ending, mut closing, mut again) = (Vec::new(), Vec::new(), Vec::new());
         for (&id, request) in self.requests.iter().filter(|r| !r.1.streaming) {
             let closes = request.deadline <= self.now + 2 * beat;
-            match request.out {
+            match &request.out {
                 None if closes || self.hopeless(request) => ending.push(id),
                 Some(_) if request.deadline + us(self.settings.tick) < self.now => ending.push(id),
                 Some(_) if closes => closing.push(id),
+                Some(out) if lost(out) => again.push(id),
                 _ => {}
             }
         }
+        again.into_iter().for_each(|id| _ = self.call_off(id, actions));
         closing.into_iter().for_each(|id| self.fall_back(id, actions));
         ending.into_iter().for_each(|id| self.answer(id, actions));
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -86,6 +86,8 @@
     pub(crate) engine: EngineId,
     pub(crate) sent: i64,
     pub(crate) number: u32,
+    /// When it was sent, or its last note came.
+    pub(crate) heard: i64,
     pub(crate) cancelled: bool,
 }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -54,6 +54,28 @@
     assert!(!rig.logged("quarantine"));
 }
 
+#[test]
+fn an_attempt_that_misses_its_notes_is_tried_elsewhere_though_its_engine_is_well() {
+    let mut settings = settings();
+    settings.engine.notes_every = Some(ms(500));
+    let mut rig = Rig::new(settings, 2);
+    trickle(&mut rig, 30, |_| Some(Outcome::Ok));
+    let (lost, long) = (rig.arrive(1), rig.arrive(1));
+    let note = |id| Event::Noted { request: id, attempt: AttemptNo(0), note: Note::WaitsForMemory };
+    for _ in 0..5 {
+        rig.pass(ms(400));
+        rig.step(&[note(long)]);
+        // Both engines go on answering.
+        trickle(&mut rig, 2, |_| Some(Outcome::Ok));
+    }
+    assert!(rig.cancelled(lost));
+    assert!(!rig.cancelled(long), "notes came of this one");
+    rig.end(lost, 0, Outcome::Cancelled);
+    rig.pass(ms(50));
+    assert_eq!(rig.sent(lost).len(), 2);
+    assert!(!rig.logged("quarantine"));
+}
+
 #[test]
 fn an_engine_that_hangs_during_a_list_outage_is_found_and_left() {
     let mut settings = settings();
