Drop a connection that brought what can't be read, and blame no engine for the rest

A connection in doubt is left after as many missed notes as elsewhere.

An id that nobody waits for is now passed over unread.

--- a/gateway/src/engine/flight/mod.rs
+++ b/gateway/src/engine/flight/mod.rs
@@ -34,9 +34,14 @@
 }
 
 impl Links {
-    /// Links that report to the broker's queue.
-    pub fn new(sockets: Arc<Sockets>, queue: mpsc::Sender<Input>) -> Self {
-        Self { pool: Pool::new(sockets.clone(), None), tasks: HashMap::new(), sockets, queue }
+    /// Links that report to the broker's queue, on at most so many connections.
+    pub fn new(sockets: Arc<Sockets>, connections_most: usize, queue: mpsc::Sender<Input>) -> Self {
+        Self {
+            pool: Pool::new(sockets.clone(), connections_most, None),
+            tasks: HashMap::new(),
+            sockets,
+            queue,
+        }
     }
 }
 
--- a/gateway/src/engine/pool.rs
+++ b/gateway/src/engine/pool.rs
@@ -75,6 +75,7 @@
     attempts: HashMap<AttemptKey, (EngineId, u64)>,
     next: u64,
     sockets: Arc<Sockets>,
+    connections_most: usize,
     notes: Option<Duration>,
 }
 
@@ -89,7 +90,8 @@
         // notes that should have come, and work that was given up unheard of.
         let quiet = now.saturating_duration_since(self.heard.last(self.used));
         let missed = notes.is_some_and(|n| quiet > n * NOTES_MISSED && !self.open.is_empty());
-        missed || quiet > SILENT_AFTER && self.heard.suspect.load(Ordering::Relaxed)
+        let doubted = notes.map_or(SILENT_AFTER, |n| SILENT_AFTER.min(n * NOTES_MISSED));
+        missed || quiet > doubted && self.heard.suspect.load(Ordering::Relaxed)
     }
 }
 
@@ -107,9 +109,10 @@
 }
 
 impl<C: Handle> Pool<C> {
-    /// A pool with no engines; `notes` is the span between two notes of what runs, if there are any.
-    pub fn new(sockets: Arc<Sockets>, notes: Option<Duration>) -> Self {
-        Self { engines: HashMap::new(), attempts: HashMap::new(), next: 0, sockets, notes }
+    /// A pool with no engines and at most so many connections to all of them; `notes` is the span between two
+    /// notes of what runs, if there are any.
+    pub fn new(sockets: Arc<Sockets>, connections_most: usize, notes: Option<Duration>) -> Self {
+        Self { engines: HashMap::new(), attempts: HashMap::new(), next: 0, sockets, connections_most, notes }
     }
 
     /// Takes in where an engine listens; `None` when it is gone.
@@ -133,6 +136,7 @@
         now: Instant,
         open: impl FnOnce(SocketAddr, Arc<Heard>) -> C,
     ) -> Option<(&C, &Arc<Heard>)> {
+        let all: usize = self.engines.values().map(|e| e.lines.len()).sum();
         let engine = self.engines.get_mut(&order.engine)?;
         let address = engine.address?;
         let (sockets, notes) = (&self.sockets, self.notes);
@@ -144,7 +148,7 @@
             .filter_map(|(n, l)| l.takes(&order.trace, sockets, notes, now).then_some((l.open.len(), *n)));
         let number = match fullest.max() {
             Some((_, number)) => number,
-            None if engine.lines.len() < CONNECTIONS_MOST => {
+            None if engine.lines.len() < CONNECTIONS_MOST && all < self.connections_most => {
                 let heard = Arc::new(Heard::new(now));
                 let handle = open(address, heard.clone());
                 let (open, spent) = (HashMap::new(), VecDeque::new());
@@ -232,7 +236,7 @@
             multiplex: 2,
             open_cap: 10,
         };
-        let mut pool = Pool::new(Arc::new(sockets), notes);
+        let mut pool = Pool::new(Arc::new(sockets), 3, notes);
         pool.place(ENGINE, Some(([127, 0, 0, 1], 1).into()));
         pool
     }
@@ -253,6 +257,19 @@
         assert_eq!(opened, [(true, 1), (true, 1), (true, 2), (true, 2)]);
     }
 
+    #[test]
+    fn all_engines_together_keep_to_their_share_of_descriptors() {
+        let (mut pool, now) = (pool(NOTES), Instant::now());
+        let found: Vec<_> = ["a", "b", "c", "d", "e", "f", "g"]
+            .into_iter()
+            .zip(0..)
+            .map(|(t, k)| pick(&mut pool, k, t, now).0)
+            .collect();
+        assert_eq!(found, [true, true, true, true, true, true, false]);
+        pool.release(AttemptKey(0), false);
+        assert!(pick(&mut pool, 7, "h", now).0);
+    }
+
     #[test]
     fn an_id_that_is_out_or_was_given_up_does_not_share_its_connection() {
         let (mut pool, now) = (pool(NOTES), Instant::now());
--- a/gateway/src/engine/resp/connection.rs
+++ b/gateway/src/engine/resp/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to an engine: a task that writes commands and reads answers, many attempts at a time.
 
-use super::wire::{self, PAGES_MOST, Reply, Word};
+use super::wire::{self, BadAnswer, PAGES_MOST, Reply, Word};
 use crate::broker::{AttemptKey, End, Input, News, Order, Rows};
 use crate::engine::RESULT_MOST;
 use crate::engine::pool::Heard;
@@ -10,10 +10,15 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// An answer is short, and whole this long after its first byte; else its rest will never come, and nothing
+/// behind it can be read.
+const WHOLE_BY: Duration = Duration::from_millis(300);
 
 /// What a connection's task is told.
 #[derive(Clone, Debug)]
@@ -34,7 +39,16 @@
     served: Option<Box<(Reply, BTreeMap<u32, Bytes>)>>,
 }
 
+/// How a connection that was up has ended.
+enum Over {
+    /// The engine closed or reset it, or nobody wants it any more.
+    Broken,
+    /// It brought what can't be read, or half of an answer and no more. Whether one attempt has been told.
+    Spoilt { told: bool },
+}
+
 pub struct Task {
+    start: Instant,
     peer: SocketAddr,
     heard: Arc<Heard>,
     sockets: Arc<Sockets>,
@@ -54,6 +68,7 @@
         queue: mpsc::Sender<Input>,
     ) -> Self {
         Self {
+            start: Instant::now(),
             peer,
             heard,
             sockets,
@@ -80,36 +95,48 @@
 
     /// Connects by `by`, then serves until the links let go of it or the connection breaks.
     pub async fn run(mut self, mut commands: mpsc::Receiver<Command>, by: Instant) {
-        let stream = match timeout_at(by, TcpStream::connect(self.peer)).await {
-            Ok(Ok(stream)) => Some(stream),
+        let over = match timeout_at(by, TcpStream::connect(self.peer)).await {
+            Ok(Ok(mut stream)) => {
+                let _ = stream.set_nodelay(true);
+                self.heard.now();
+                Some(self.serve(&mut stream, &mut commands).await)
+            }
             _ => None,
         };
-        if let Some(mut stream) = stream {
-            let _ = stream.set_nodelay(true);
-            self.heard.now();
-            self.serve(&mut stream, &mut commands).await;
-        }
-        // Whatever is left never ran if its command had not been written whole, and may have run otherwise.
+        // Nothing that was not written whole has run. That the engine was not there is told only where it was
+        // not: a connection that broke before a command went out says nothing against it.
+        let unsent = if over.is_some() { Outcome::Moot } else { Outcome::ConnectFailed };
         commands.close();
         while let Some(command) = commands.recv().await {
             if let Command::Start(order) = command {
-                self.tell(order.key, News::Ended(Outcome::ConnectFailed.into())).await;
+                self.tell(order.key, News::Ended(unsent.into())).await;
             }
         }
-        for (_, attempt) in std::mem::take(&mut self.by_id) {
-            let sent = attempt.whole_at <= self.written;
-            let outcome = if sent { Outcome::Reset } else { Outcome::ConnectFailed };
+        // What else was out where one answer could not be read is withdrawn with the connection: the engine
+        // answers for one of them, not for all.
+        let mut answered_for = matches!(over, Some(Over::Spoilt { told: true }));
+        let mut left: Vec<_> = std::mem::take(&mut self.by_id).into_values().collect();
+        left.sort_by_key(|a| a.key);
+        for attempt in left {
+            let outcome = match over {
+                _ if attempt.whole_at > self.written => unsent,
+                Some(Over::Spoilt { .. }) if std::mem::replace(&mut answered_for, true) => Outcome::Cancelled,
+                _ => Outcome::Reset,
+            };
             self.tell(attempt.key, News::Ended(outcome.into())).await;
         }
     }
 
-    async fn serve(&mut self, stream: &mut TcpStream, commands: &mut mpsc::Receiver<Command>) {
+    async fn serve(&mut self, stream: &mut TcpStream, commands: &mut mpsc::Receiver<Command>) -> Over {
         let (mut reader, mut writer) = stream.split();
         let mut buffer = BytesMut::with_capacity(16 * 1024);
+        // When the rest of an answer that has begun must have come.
+        let mut whole_by = None;
         loop {
             tokio::select! {
+                biased;
                 command = commands.recv() => match command {
-                    None => return,
+                    None => return Over::Broken,
                     Some(command) => {
                         self.command(command);
                         while let Ok(command) = commands.try_recv() {
@@ -117,26 +144,39 @@
                         }
                     }
                 },
+                sent = writer.write(&self.out), if !self.out.is_empty() => match sent {
+                    Ok(n) if n > 0 => {
+                        self.out.advance(n);
+                        self.written += n as u64;
+                    }
+                    _ => return Over::Broken,
+                },
                 read = reader.read_buf(&mut buffer) => {
                     if !matches!(read, Ok(n) if n > 0) {
-                        return;
+                        return Over::Broken;
                     }
                     self.heard.now();
                     loop {
-                        match wire::take_array(&mut buffer).and_then(|a| a.map(wire::read_reply).transpose()) {
-                            Ok(Some(reply)) => self.reply(reply).await,
+                        match wire::take_array(&mut buffer) {
+                            Ok(Some(words)) => {
+                                whole_by = None;
+                                if self.answer(words).await.is_err() {
+                                    return Over::Spoilt { told: true };
+                                }
+                            }
                             Ok(None) => break,
-                            Err(_) => return,
+                            Err(_) => return Over::Spoilt { told: false },
                         }
                     }
-                }
-                sent = writer.write(&self.out), if !self.out.is_empty() => match sent {
-                    Ok(n) if n > 0 => {
-                        self.out.advance(n);
-                        self.written += n as u64;
+                    if buffer.is_empty() {
+                        whole_by = None;
+                    } else if whole_by.is_none() {
+                        whole_by = Some(Instant::now() + WHOLE_BY);
                     }
-                    _ => return,
-                },
+                }
+                () = sleep_until(whole_by.unwrap_or(self.start)), if whole_by.is_some() => {
+                    return Over::Spoilt { told: false };
+                }
             }
         }
     }
@@ -171,9 +211,22 @@
         }
     }
 
-    async fn reply(&mut self, reply: Reply) {
+    /// Reads an answer. One under an id that nobody waits for is of no concern, whatever it holds.
+    async fn answer(&mut self, words: Vec<Bytes>) -> Result<(), BadAnswer> {
+        let Some(id) = words.first().filter(|id| self.by_id.contains_key(*id)).cloned() else {
+            return Ok(());
+        };
+        match wire::read_reply(words) {
+            Ok(reply) => self.reply(reply).await,
+            Err(bad) => self.spoilt(&id, bad.0).await,
+        }
+    }
+
+    /// Takes in an answer. What can't be so is an error: that attempt has been told, and the connection is of no
+    /// further use.
+    async fn reply(&mut self, reply: Reply) -> Result<(), BadAnswer> {
         let id = reply.id.clone();
-        let Some(attempt) = self.by_id.get_mut(&id) else { return };
+        let Some(attempt) = self.by_id.get_mut(&id) else { return Ok(()) };
         let load = reply.load;
         let failed = |outcome: Outcome| End { outcome, bill: None, load, rows: None };
         match reply.word {
@@ -188,47 +241,56 @@
             Word::Error => self.end(&id, failed(Outcome::Error)).await,
             Word::Alive => {}
             Word::Ok if attempt.served.is_none() => {
-                if reply.pages > PAGES_MOST {
-                    return self.end(&id, failed(Outcome::Error)).await;
-                }
                 let pages = reply.pages;
+                if pages > PAGES_MOST {
+                    return self.spoilt(&id, "more pages than a result has").await;
+                }
                 let first = BTreeMap::from([(0, reply.body.clone())]);
                 attempt.served = Some(Box::new((reply, first)));
                 for page in 1..pages {
                     self.put(&[b"SCROLL", &id, page.to_string().as_bytes()]);
                 }
-                self.whole(&id).await;
+                return self.whole(&id).await;
             }
             Word::Chunk => {
                 if let Some(served) = &mut attempt.served {
-                    if (1..served.0.pages).contains(&reply.page) {
-                        served.1.insert(reply.page, reply.body);
+                    if !(1..served.0.pages).contains(&reply.page) {
+                        return self.spoilt(&id, "a page that the result does not have").await;
                     }
-                    self.whole(&id).await;
+                    served.1.entry(reply.page).or_insert(reply.body);
+                    return self.whole(&id).await;
                 }
             }
+            // A second copy.
             Word::Ok => {}
         }
+        Ok(())
+    }
+
+    async fn spoilt(&mut self, id: &Bytes, why: &'static str) -> Result<(), BadAnswer> {
+        self.end(id, Outcome::Reset.into()).await;
+        Err(BadAnswer(why))
     }
 
     /// Ends an attempt whose pages are all in.
-    async fn whole(&mut self, id: &Bytes) {
-        let Some(served) = self.by_id.get(id).and_then(|a| a.served.as_ref()) else { return };
+    async fn whole(&mut self, id: &Bytes) -> Result<(), BadAnswer> {
+        let Some(served) = self.by_id.get(id).and_then(|a| a.served.as_ref()) else { return Ok(()) };
         let (first, pages) = (&served.0, &served.1);
+        if pages.values().map(Bytes::len).sum::<usize>() > RESULT_MOST {
+            return self.spoilt(id, "a result that is too large").await;
+        }
         if pages.len() < first.pages as usize {
-            return;
+            return Ok(());
         }
         let mut rows = Rows::default();
-        let fits = pages.values().map(Bytes::len).sum::<usize>() <= RESULT_MOST;
-        let sound = fits && pages.values().all(|page| wire::read_page(page, &mut rows).is_ok());
-        let end = if sound {
-            End { outcome: Outcome::Ok, bill: first.bill, load: first.load, rows: Some(rows) }
-        } else {
-            End { outcome: Outcome::Error, bill: None, load: first.load, rows: None }
-        };
+        if !pages.values().all(|page| wire::read_page(page, &mut rows).is_ok()) {
+            return self.spoilt(id, "a page without whole rows").await;
+        }
+        let end = End { outcome: Outcome::Ok, bill: first.bill, load: first.load, rows: Some(rows) };
         if first.pages > 1 {
             self.put(&[b"DISCARD", id]);
         }
         self.end(id, end).await;
+        Ok(())
     }
 }
--- a/gateway/src/engine/resp/mod.rs
+++ b/gateway/src/engine/resp/mod.rs
@@ -31,9 +31,15 @@
 }
 
 impl Links {
-    /// Links that report to the broker's queue; `notes` is the span between two notes, if there are any.
-    pub fn new(sockets: Arc<Sockets>, notes: Option<Duration>, queue: mpsc::Sender<Input>) -> Self {
-        Self { pool: Pool::new(sockets.clone(), notes), sockets, queue }
+    /// Links that report to the broker's queue, on at most so many connections; `notes` is the span between two
+    /// notes, if there are any.
+    pub fn new(
+        sockets: Arc<Sockets>,
+        connections_most: usize,
+        notes: Option<Duration>,
+        queue: mpsc::Sender<Input>,
+    ) -> Self {
+        Self { pool: Pool::new(sockets.clone(), connections_most, notes), sockets, queue }
     }
 
     fn command(&mut self, key: AttemptKey, command: Command) {
--- a/gateway/src/engine/resp/wire.rs
+++ b/gateway/src/engine/resp/wire.rs
@@ -8,8 +8,8 @@
 use tokio::time::Instant;
 
 /// Words in an array, and bytes in a word, at most.
-const WORDS_MOST: usize = 16;
-const WORD_MOST: usize = 256 * 1024;
+const WORDS_MOST: usize = 8;
+const WORD_MOST: usize = 16 * 1024;
 /// Bytes of a length line at most.
 const LINE_MOST: usize = 16;
 /// Columns of a result.
@@ -155,6 +155,10 @@
     let find =
         |name: &str| fields.split(',').find_map(|f| f.split_once('=').filter(|f| f.0 == name)).map(|f| f.1);
     let number = |name: &str| find(name).and_then(|v| v.parse::<f64>().ok()).filter(|v| v.is_finite());
+    let whole = |name: &'static str| {
+        let digits = find(name).filter(|v| v.len() <= 9 && v.bytes().all(|b| b.is_ascii_digit()));
+        digits.and_then(|v| v.parse::<u32>().ok()).filter(|n| *n > 0).ok_or(BadAnswer(name))
+    };
     let value = number("datum");
     let note = match (find("why"), value) {
         (Some("pct"), Some(done)) => Some(Note::Progress(done)),
@@ -171,8 +175,9 @@
     Ok(Reply {
         id,
         word,
-        pages: number("total").map_or(1, |n| n.clamp(1.0, f64::from(u32::MAX)) as u32),
-        page: number("index").map_or(0, |n| n.clamp(0.0, f64::from(u32::MAX)) as u32),
+        // Without its number of pages a result could be cut and taken for whole.
+        pages: if word == Word::Ok { whole("total")? } else { 1 },
+        page: if word == Word::Chunk { whole("index")? } else { 0 },
         bill,
         load,
         note,
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -51,6 +51,8 @@
 
 impl std::error::Error for ServeError {}
 
+/// Share of the descriptors that connections to engines may hold; client sessions take 0.6.
+const ENGINES_SHARE: f64 = 0.3;
 /// What is taken is answered by its deadline; past the longest one and this there is nothing to wait for.
 const LAST: Duration = Duration::from_millis(600);
 
@@ -128,11 +130,13 @@
         info!(log, "start"; "name" => &config.name, "engines" => changes.len(), "serial" => ?book.serial());
         let _ = queue.send(Input::Engines(changes)).await;
     }
+    let connections = (config.limits.sockets as f64 * ENGINES_SHARE) as usize;
     let links: Box<dyn EngineLinks> = match operator.engines {
         EngineWire::Resp => {
-            Box::new(resp::Links::new(sockets.clone(), deployment.core.engine.notes_every, queue.clone()))
+            let notes = deployment.core.engine.notes_every;
+            Box::new(resp::Links::new(sockets.clone(), connections, notes, queue.clone()))
         }
-        EngineWire::FlightSql => Box::new(flight::Links::new(sockets.clone(), queue.clone())),
+        EngineWire::FlightSql => Box::new(flight::Links::new(sockets.clone(), connections, queue.clone())),
     };
     let broker_log = log.new(o!("part" => "broker"));
     let contracts = contracts(&operator, &deployment, log)?.map(Arc::new);
--- a/gateway/tests/mysql_front.rs
+++ b/gateway/tests/mysql_front.rs
@@ -82,6 +82,48 @@
     assert_eq!(world.attempts("CUT 1"), 2);
 }
 
+#[tokio::test]
+async fn spoilt_answers_are_made_up_for_elsewhere_and_what_is_served_is_whole() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    for (statement, attempts) in [
+        ("NOISE 1", 2),
+        ("HUGE 1", 2),
+        ("ENDLESS 1", 2),
+        ("UNTOLD 1", 2),
+        ("BEYOND 1", 2),
+        ("CHUNK 1", 2),
+        ("HALF 1", 2),
+        ("COPY 1", 1),
+        ("COPY 2", 1),
+    ] {
+        let asked = Instant::now();
+        assert_eq!(client.ask(&fields("statement", 9000, None, statement)).await.unwrap(), expected());
+        assert_eq!(world.attempts(statement), attempts, "{statement}");
+        // Found by what it brought, long before notes are missed.
+        assert!(asked.elapsed() < Duration::from_secs(1), "{statement}: {:?}", asked.elapsed());
+    }
+    // What may have run goes out again only where the rules allow.
+    assert_eq!(client.ended(&fields("adjust", 2500, None, "NOISE 2")).await, Ended::Failed("ENGINE"));
+    assert_eq!(world.attempts("NOISE 2"), 1);
+}
+
+#[tokio::test]
+async fn one_spoilt_answer_fails_nothing_else_on_its_connection() {
+    let world = World::default();
+    let engines = [resp::engine("a", world.clone()).await];
+    let gateway = gateway(config(&engines), Operator::default()).await;
+    let mut other = Client::connect(gateway.mysql).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    // Two on one connection: the noise that answers the second ends it for both.
+    other.stream_query(&fields("lookup", 3000, None, "LATER 1")).await;
+    until("the engine has it", || world.attempts("LATER 1") == 1).await;
+    assert_eq!(client.ask(&fields("lookup", 3000, None, "NOISE 1")).await.unwrap(), expected());
+    assert_eq!(other.answer().await.unwrap(), expected());
+    assert_eq!(world.attempts("LATER 1"), 2);
+}
+
 #[tokio::test]
 async fn a_request_out_of_time_is_answered_inside_the_slack() {
     let world = World::default();
--- a/gateway/tests/support/flight.rs
+++ b/gateway/tests/support/flight.rs
@@ -97,7 +97,8 @@
                 self.cut.notify_one();
                 std::future::pending().await
             }
-            Act::Serve | Act::Cut => Ok(act),
+            // What only RESP can spoil is served here.
+            _ => Ok(act),
         }
     }
 }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -91,6 +91,12 @@
     Cut,
     /// Do the work, then break the connection.
     LoseAck,
+    /// Answer with what can't be read.
+    Spoil(&'static str),
+    /// Send part of an answer, then nothing on that connection any more.
+    Half,
+    /// Bring more than is wanted: an answer under an unknown id ahead, and a second copy.
+    Copy,
 }
 
 #[derive(Default)]
@@ -118,8 +124,17 @@
             "BUSY" => Act::Busy,
             "ERROR" => Act::Error,
             "HANG" => Act::Hang,
+            "LATER" if first => Act::Hang,
             "CUT" if first => Act::Cut,
             "LOSE" if first => Act::LoseAck,
+            "NOISE" if first => Act::Spoil("\0\x01\x02%%"),
+            "HUGE" if first => Act::Spoil("*4\r\n$3000000000\r\n"),
+            "ENDLESS" if first => Act::Spoil("*00000000000000000000"),
+            "UNTOLD" if first => Act::Spoil("ID 200 elapsed=1"),
+            "BEYOND" if first => Act::Spoil("ID 200 total=99999999"),
+            "CHUNK" if first => Act::Spoil("ID chunk index=9"),
+            "HALF" if first => Act::Half,
+            "COPY" => Act::Copy,
             _ => Act::Serve,
         };
         // As the engines do: a repeat of a key has no second effect; what bears no key always has one.
--- a/gateway/tests/support/resp.rs
+++ b/gateway/tests/support/resp.rs
@@ -27,7 +27,7 @@
     let (mut buffer, mut open) = (BytesMut::new(), HashMap::<Bytes, String>::new());
     loop {
         let mut out = BytesMut::new();
-        let mut cut = false;
+        let (mut cut, mut half) = (false, false);
         while let Some(words) = take_array(&mut buffer).unwrap() {
             let id = words[1].clone();
             match &words[0][..] {
@@ -54,6 +54,25 @@
                             cut = true;
                         }
                         Act::LoseAck => cut = true,
+                        Act::Spoil(with) => match with.strip_prefix("ID ").and_then(|w| w.split_once(' ')) {
+                            Some((word, fields)) => {
+                                if word == "chunk" {
+                                    answer("200", &ok, &first);
+                                }
+                                answer(word, fields, &first);
+                            }
+                            None => out.extend_from_slice(with.as_bytes()),
+                        },
+                        Act::Half => {
+                            answer("200", &ok, &first);
+                            out.truncate(out.len() / 2);
+                            half = true;
+                        }
+                        Act::Copy => {
+                            put_array(&mut out, &[b"ffffffffffffffff", b"200", b"-", b"x\ty\tz\n"]);
+                            put_array(&mut out, &[&id, b"200", ok.as_bytes(), first.as_bytes()]);
+                            put_array(&mut out, &[&id, b"200", ok.as_bytes(), first.as_bytes()]);
+                        }
                     }
                 }
                 b"SCROLL" => {
@@ -72,6 +91,13 @@
         if stream.write_all(&out).await.is_err() || cut {
             return;
         }
+        if half {
+            // The connection stays open, and nothing more comes on it.
+            while matches!(stream.read_buf(&mut buffer).await, Ok(n) if n > 0) {
+                buffer.clear();
+            }
+            return;
+        }
         if !matches!(stream.read_buf(&mut buffer).await, Ok(n) if n > 0) {
             return;
         }
