--- a/gateway/src/names/list.rs
+++ b/gateway/src/names/list.rs
@@ -52,10 +52,16 @@
     sockets: Arc<Sockets>,
     /// None before anything was told: the first answer holds whatever its serial.
     serial: Option<u32>,
+    /// Of the latest answer that lacked an address; nothing older is taken after it either.
+    open: Option<u32>,
     ids: HashMap<String, EngineId>,
+    next: u32,
     listed: BTreeMap<EngineId, Listed>,
 }
 
+/// Ids of engines that are not listed, remembered at most beyond as many as are.
+const UNLISTED_MOST: usize = 64;
+
 /// Later in serial arithmetic (RFC 1982).
 fn later(a: u32, b: u32) -> bool {
     a != b && a.wrapping_sub(b) < 1 << 31
@@ -64,7 +70,7 @@
 impl Book {
     /// An empty list.
     pub fn new(sockets: Arc<Sockets>) -> Self {
-        Self { sockets, serial: None, ids: HashMap::new(), listed: BTreeMap::new() }
+        Self { sockets, serial: None, open: None, ids: HashMap::new(), next: 0, listed: BTreeMap::new() }
     }
 
     /// Number of the last event taken in.
@@ -72,9 +78,24 @@
         self.serial
     }
 
+    /// The number under which an engine is known here. Ids are always new, so those of engines that are not
+    /// listed are forgotten once there are many; one that comes back later is a new engine.
     fn id(&mut self, name: &str) -> EngineId {
-        let next = EngineId(self.ids.len() as u32);
-        *self.ids.entry(name.to_owned()).or_insert(next)
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        if self.ids.len() >= 2 * self.listed.len() + UNLISTED_MOST {
+            self.ids.retain(|_, id| self.listed.contains_key(id));
+        }
+        let id = EngineId(self.next);
+        self.next = self.next.wrapping_add(1);
+        self.ids.insert(name.to_owned(), id);
+        id
+    }
+
+    /// Ids remembered, listed or not.
+    pub fn remembered(&self) -> usize {
+        self.ids.len()
     }
 
     fn place(names: &[String], name: &str) -> Option<usize> {
@@ -130,7 +151,8 @@
     /// Takes in an answer of the name server: the whole list. One that is no later tells nothing new.
     pub fn take(&mut self, answer: dns::Answer) -> Vec<Listed> {
         let mut changes = Vec::new();
-        if self.serial.is_some_and(|s| !later(answer.serial, s)) {
+        let told = self.serial.is_some_and(|s| !later(answer.serial, s));
+        if told || self.open.is_some_and(|o| later(o, answer.serial)) {
             return changes;
         }
         let mut named = HashSet::new();
@@ -159,9 +181,8 @@
             self.change(Listed { entry, address }, &mut changes);
         }
         self.drop_others(&named, &mut changes);
-        if whole {
-            self.serial = Some(answer.serial);
-        }
+        let place = if whole { &mut self.serial } else { &mut self.open };
+        *place = Some(answer.serial);
         changes
     }
 
--- a/gateway/tests/names.rs
+++ b/gateway/tests/names.rs
@@ -83,6 +83,30 @@
     assert_eq!(told(&mut book, 3, &[engine("s-0", 1), engine("s-1", 2), engine("s-2", 3)]).len(), 1);
 }
 
+#[test]
+fn an_older_answer_undoes_nothing_where_a_later_one_lacked_an_address() {
+    let mut book = book();
+    told(&mut book, 1, &[engine("s-0", 1), engine("s-1", 2)]);
+    let mut cut = answer(7, 3, &[engine("s-0", 1), engine("s-2", 3)]);
+    cut.additionals.clear();
+    assert_eq!(book.take(read(&cut.to_vec().unwrap(), 7, 1).unwrap()).len(), 1, "s-1 is gone");
+    assert!(told(&mut book, 2, &[engine("s-0", 1), engine("s-1", 2)]).is_empty(), "s-1 came back");
+    assert_eq!(told(&mut book, 3, &[engine("s-0", 1), engine("s-2", 3)]).len(), 1);
+}
+
+#[test]
+fn ids_of_engines_that_are_gone_are_forgotten_in_time() {
+    let mut book = book();
+    let ids: Vec<&'static str> = (0..400).map(|n| &*format!("s-{n}").leak()).collect();
+    let mut numbers = std::collections::HashSet::new();
+    for (serial, id) in (1..).zip(&ids) {
+        let changes = told(&mut book, serial, &[engine("s-stays", 1), engine(id, 2)]);
+        numbers.extend(changes.iter().map(|c| c.entry.engine));
+    }
+    assert_eq!(numbers.len(), 401, "two engines had one number");
+    assert!(book.remembered() < 100, "{}", book.remembered());
+}
+
 #[test]
 fn unsound_answers_tell_nothing() {
     let sound = || answer(7, 2, &[engine("s-0", 1)]);
