Draw the numbers of name queries, and take answers only to those that were asked

Now ids are drawn from the seed and the latest sixteen are kept; an answer's must be among them. Test: unsound_answers_tell_nothing has an id between two asked.

--- a/gateway/src/names/dns.rs
+++ b/gateway/src/names/dns.rs
@@ -81,15 +81,15 @@
     message.to_vec().ok()
 }
 
-/// Reads an answer to the query of that number, or to one of the `open` latest up to it.
+/// Reads an answer to one of the queries of these numbers.
 ///
 /// # Errors
 /// Where it is not a whole, sound answer; nothing is to be learnt from it then.
-pub fn read(bytes: &[u8], id: u16, open: u16) -> Result<Answer, BadAnswer> {
+pub fn read(bytes: &[u8], asked: &[u16]) -> Result<Answer, BadAnswer> {
     let message = Message::from_vec(bytes).map_err(|_| BadAnswer::Malformed)?;
     let name = Name::from_str(LIST).map_err(|_| BadAnswer::Malformed)?;
     let head = &message.metadata;
-    if id.wrapping_sub(head.id) >= open
+    if !asked.contains(&head.id)
         || head.message_type != MessageType::Response
         || message.queries.iter().any(|q| *q.name() != name || q.query_type() != RecordType::SRV)
     {
--- a/gateway/src/names/mod.rs
+++ b/gateway/src/names/mod.rs
@@ -6,6 +6,7 @@
 use crate::broker::{Input, Listed};
 use list::Book;
 use slog::{Logger, debug, info, warn};
+use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -17,7 +18,7 @@
 const EVERY: Duration = Duration::from_millis(250);
 /// Answers to so many of the latest queries are taken: a slow one tells as much as a quick one, and the serial
 /// keeps an old one from undoing a new one.
-const QUERIES_OPEN: u16 = 16;
+const QUERIES_OPEN: usize = 16;
 /// Without a sound answer for so long, the name server is said to be out of reach.
 const SILENT_AFTER: Duration = Duration::from_secs(2);
 /// Answers hold up to 8,000 bytes.
@@ -44,7 +45,10 @@
 struct Watch {
     book: Book,
     queue: mpsc::Sender<Input>,
-    id: u16,
+    /// Where the numbers of queries come from: they can't be told from those before.
+    numbers: u64,
+    /// Numbers of the latest queries, the last one first.
+    asked: VecDeque<u16>,
     large: bool,
     silent: bool,
     heard: Instant,
@@ -60,8 +64,8 @@
     seed: u64,
     log: Logger,
 ) {
-    let (id, heard) = (seed as u16, Instant::now());
-    let mut watch = Watch { book, queue, id, large: false, silent: false, heard, log };
+    let (asked, heard) = (VecDeque::new(), Instant::now());
+    let mut watch = Watch { book, queue, numbers: seed, asked, large: false, silent: false, heard, log };
     loop {
         let source = sources.borrow_and_update().clone();
         if let Some(changes) = source.known.as_ref().and_then(|k| watch.book.refresh(k).ok())
@@ -124,17 +128,21 @@
 
     /// The next query.
     fn query(&mut self) -> Vec<u8> {
-        self.id = self.id.wrapping_add(1);
+        self.numbers =
+            self.numbers.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let id = (self.numbers >> 48) as u16;
+        self.asked.truncate(QUERIES_OPEN - 1);
+        self.asked.push_front(id);
         if !self.silent && self.heard.elapsed() > SILENT_AFTER {
             self.silent = true;
             warn!(self.log, "name server silent"; "serial" => ?self.book.serial());
         }
-        dns::query(self.id, self.large).unwrap_or_default()
+        dns::query(id, self.large).unwrap_or_default()
     }
 
     /// Takes in a datagram; an error if the broker has ended.
     async fn take(&mut self, bytes: &[u8]) -> Result<(), Closed> {
-        match dns::read(bytes, self.id, QUERIES_OPEN) {
+        match dns::read(bytes, self.asked.make_contiguous()) {
             Ok(answer) => {
                 self.heard = Instant::now();
                 if std::mem::take(&mut self.silent) {
--- a/gateway/tests/names.rs
+++ b/gateway/tests/names.rs
@@ -21,7 +21,7 @@
 }
 
 fn told(book: &mut Book, serial: u32, engines: &[Engine]) -> Vec<Listed> {
-    book.take(read(&answer(7, serial, engines).to_vec().unwrap(), 7, 1).unwrap())
+    book.take(read(&answer(7, serial, engines).to_vec().unwrap(), &[7]).unwrap())
 }
 
 #[test]
@@ -75,11 +75,11 @@
     told(&mut book, 1, &[engine("s-0", 1), engine("s-1", 2)]);
     let mut cut = answer(7, 2, &[engine("s-0", 1), engine("s-1", 2)]);
     cut.additionals.clear();
-    assert!(book.take(read(&cut.to_vec().unwrap(), 7, 1).unwrap()).is_empty());
+    assert!(book.take(read(&cut.to_vec().unwrap(), &[7]).unwrap()).is_empty());
     // One never heard of stays open: the same serial is taken again when its address comes.
     let mut cut = answer(7, 3, &[engine("s-0", 1), engine("s-1", 2), engine("s-2", 3)]);
     cut.additionals.clear();
-    assert!(book.take(read(&cut.to_vec().unwrap(), 7, 1).unwrap()).is_empty());
+    assert!(book.take(read(&cut.to_vec().unwrap(), &[7]).unwrap()).is_empty());
     assert_eq!(told(&mut book, 3, &[engine("s-0", 1), engine("s-1", 2), engine("s-2", 3)]).len(), 1);
 }
 
@@ -89,7 +89,7 @@
     told(&mut book, 1, &[engine("s-0", 1), engine("s-1", 2)]);
     let mut cut = answer(7, 3, &[engine("s-0", 1), engine("s-2", 3)]);
     cut.additionals.clear();
-    assert_eq!(book.take(read(&cut.to_vec().unwrap(), 7, 1).unwrap()).len(), 1, "s-1 is gone");
+    assert_eq!(book.take(read(&cut.to_vec().unwrap(), &[7]).unwrap()).len(), 1, "s-1 is gone");
     assert!(told(&mut book, 2, &[engine("s-0", 1), engine("s-1", 2)]).is_empty(), "s-1 came back");
     assert_eq!(told(&mut book, 3, &[engine("s-0", 1), engine("s-2", 3)]).len(), 1);
 }
@@ -110,7 +110,7 @@
 #[test]
 fn unsound_answers_tell_nothing() {
     let sound = || answer(7, 2, &[engine("s-0", 1)]);
-    let end = |m: hickory_proto::op::Message| read(&m.to_vec().unwrap(), 7, 1).unwrap_err();
+    let end = |m: hickory_proto::op::Message| read(&m.to_vec().unwrap(), &[7]).unwrap_err();
     let mut message = sound();
     message.metadata.truncation = true;
     assert_eq!(end(message), BadAnswer::Truncated);
@@ -120,15 +120,19 @@
     let mut message = sound();
     message.metadata.id = 8;
     assert_eq!(end(message), BadAnswer::NotOurs);
+    // One between two that were asked is foreign too.
+    let between = read(&sound().to_vec().unwrap(), &[8, 6]);
+    assert_eq!(between, Err(BadAnswer::NotOurs));
+    assert!(read(&sound().to_vec().unwrap(), &[9, 7]).is_ok());
     let mut message = sound();
     message.authorities.clear();
     assert_eq!(end(message), BadAnswer::NoSerial);
     let whole = sound().to_vec().unwrap();
     // Every cut is an error or has lost no engine: nothing that is short empties the list.
     for size in 0..whole.len() {
-        assert!(read(&whole[..size], 7, 1).is_err(), "{size} of {} bytes", whole.len());
+        assert!(read(&whole[..size], &[7]).is_err(), "{size} of {} bytes", whole.len());
     }
-    assert_eq!(read(&query(7, true).unwrap(), 7, 1), Err(BadAnswer::NotOurs));
+    assert_eq!(read(&query(7, true).unwrap(), &[7]), Err(BadAnswer::NotOurs));
 }
 
 #[tokio::test]
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -91,7 +91,8 @@
         let _ = take_packet(&mut BytesMut::from(&garbage[..]), 0);
         let _ = (read_login(bytes.clone()), read_command(bytes.clone()), take_fields(&bytes));
         let _ = (group(&bytes), kill_query(&bytes), read_page(&bytes, &mut Rows::default()));
-        let _ = reedwalk_gateway::names::dns::read(&garbage, 7, u16::MAX);
+        let id = garbage.first_chunk().map_or(0, |id| u16::from_be_bytes(*id));
+        let _ = reedwalk_gateway::names::dns::read(&garbage, &[id]);
         let _ = timeout(&String::from_utf8_lossy(&garbage));
     }
 
