Add make measure-cores, and calls over Flight to the tests between cores

Change: reedwalk-measures starts release builds as processes against modelled engines; a test of the gate on Flight.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Tasks of the repository. CONFIG names the configuration that `make run` starts with.
 CONFIG ?= deploy/example-config.json
 
-.PHONY: build test lint run measure-held
+.PHONY: build test lint run measure-held measure-cores
 
 build:
 	cargo build --release --locked
@@ -20,3 +20,7 @@
 # What a request costs the decision module while others are held: rows for 10, 100 and 1,000.
 measure-held:
 	cargo run --release --locked --example held
+
+# The gain of several cores and what is lost in judgement; some minutes, best alone on the machine.
+measure-cores: build
+	cargo run --release --locked -p reedwalk-measures --bin measure-cores
--- a/gateway/tests/cores.rs
+++ b/gateway/tests/cores.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use reedwalk_gateway::config::{self, Config, Limits};
-use reedwalk_gateway::operator::Operator;
+use reedwalk_gateway::operator::{EngineWire, Operator};
 use reedwalk_gateway::serve::Running;
 use reedwalk_standins::driver::{self, Kind, Plan};
 use reedwalk_standins::model::Shape;
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use support::mysql::{Client, fields};
-use support::{Ended, World, config, gateway, known, names, resp, settings, until};
+use support::{Ended, World, both_fronts, config, flight, gateway, known, names, resp, settings, until};
 use tokio::io::AsyncReadExt;
 
 /// Longer than any news may take, and than the notes that an attempt may miss.
@@ -406,3 +406,30 @@
     let read = config::read_operator(std::path::Path::new(example)).unwrap();
     assert_eq!((read.cores, read.check(&Limits::default())), (4, Ok(())));
 }
+
+#[tokio::test]
+async fn flight_calls_cross_cores_and_keep_to_the_gate() {
+    let world = World::default();
+    let (a, b) = (flight::engine("a", world.clone()).await, flight::engine("b", world.clone()).await);
+    let list = names::List::default();
+    *list.lock().unwrap() = (2, vec![listed("s-0", a, false)]);
+    let (server, _) = names::server(list.clone()).await;
+    let operator = Operator { cores: 4, ..both_fronts(EngineWire::FlightSql) };
+    let running = gateway(Config { names: Some(server), ..config(&[a]) }, operator).await;
+    let before = running.cores().held();
+    let client = flight::Client::connect(running.flight.unwrap()).await.of("lookup", None);
+    until("the connection lies on a core", || running.cores().held() != before).await;
+    let session = newcomer(&running, &before);
+    let before = running.cores().held();
+    assert_eq!(client.ask("SELECT 1").await.unwrap().len(), 600);
+    let link = newcomer(&running, &before);
+    assert_ne!(session, link);
+    let info = client.info("SELECT 2").await.unwrap();
+    stall(&running, link, STALL);
+    let ticket = info.endpoint[0].ticket.clone().unwrap();
+    let asking = tokio::spawn(async move { client.get(ticket).await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    *list.lock().unwrap() = (3, vec![listed("s-0", a, true), listed("s-1", b, false)]);
+    assert!(asking.await.unwrap().is_ok(), "withdrawn at the gate, and served elsewhere");
+    assert_eq!((world.sends("a"), world.sends("b")), (1, 1), "a late send");
+}
--- /dev/null
+++ b/measures/src/lib.rs
@@ -0,0 +1,109 @@
+//! What the measurements share: front ends started as processes, what they cost, tables.
+#![allow(missing_docs)]
+
+use reedwalk_standins::config::settings;
+use serde_json::{Value, json};
+use std::future::Future;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// A running front end; ended by its id when this is dropped.
+pub struct Front {
+    child: Child,
+    files: Vec<PathBuf>,
+    pub address: SocketAddr,
+}
+
+/// What a front end is told.
+pub struct Setup<'a> {
+    /// How many front ends share the pool, and which of them this is.
+    pub gateways: usize,
+    pub ordinal: usize,
+    pub known: Value,
+    pub names: Option<SocketAddr>,
+    pub operator: Option<&'a str>,
+    pub seed: u64,
+}
+
+impl Front {
+    /// Starts the release build of the program.
+    pub fn start(setup: &Setup) -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let program = std::env::var_os("REEDWALK").map_or("target/release/reedwalk".into(), PathBuf::from);
+        assert!(program.exists(), "{} is not there: make build", program.display());
+        let mut settings = settings();
+        settings["Balancers"] = json!(setup.gateways);
+        settings["Ordinal"] = json!(setup.ordinal);
+        let config = json!({"name": format!("n{}", setup.ordinal), "listen": "127.0.0.1:0",
+            "seed": format!("{:x}", setup.seed), "names": setup.names, "known": setup.known, "settings": settings,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}});
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let file =
+            |kind| std::env::temp_dir().join(format!("reedwalk-{}-{number}-{kind}", std::process::id()));
+        let mut files = vec![file("config")];
+        std::fs::write(&files[0], config.to_string()).unwrap();
+        let mut command = Command::new(program);
+        command.arg("serve").arg("--config").arg(&files[0]);
+        command.env_remove("GW_LISTEN").env_remove("GW_NAME").stderr(Stdio::piped()).stdout(Stdio::null());
+        if let Some(operator) = setup.operator {
+            files.push(file("operator"));
+            std::fs::write(&files[1], operator).unwrap();
+            command.arg("--operator").arg(&files[1]);
+        }
+        let mut child = command.spawn().unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let line =
+            lines.by_ref().map(Result::unwrap).find(|l| l.contains("serving")).expect("it did not start");
+        let address =
+            line.split("mysql: ").nth(1).unwrap().split([',', ' ']).next().unwrap().parse().unwrap();
+        std::thread::spawn(move || lines.for_each(drop));
+        Self { child, files, address }
+    }
+
+    /// CPU time so far, in milliseconds.
+    pub fn cpu_ms(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let after: Vec<_> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+        // Fields 14 and 15 of the whole line, in clock ticks of 10 ms.
+        (after[11].parse::<f64>().unwrap() + after[12].parse::<f64>().unwrap()) * 10.0
+    }
+
+    /// Most memory that it has held, in MB.
+    pub fn memory_mb(&self) -> f64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<f64>().unwrap() / 1024.0
+    }
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        for file in &self.files {
+            let _ = std::fs::remove_file(file);
+        }
+    }
+}
+
+/// Cores of this machine.
+pub fn machine() -> usize {
+    std::thread::available_parallelism().map_or(0, usize::from)
+}
+
+/// Runs something on a runtime in a thread of its own, and goes on running what it left there.
+pub fn apart<T: Send + 'static, F: Future<Output = T> + 'static>(
+    make: impl FnOnce() -> F + Send + 'static,
+) -> T {
+    let (send, receive) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let made = runtime.block_on(make());
+        let _ = send.send(made);
+        runtime.block_on(std::future::pending::<()>());
+    });
+    receive.recv().unwrap()
+}
--- a/standins/src/model.rs
+++ b/standins/src/model.rs
@@ -11,6 +11,8 @@
     pub slow: f64,
     /// Share of its capacity at its start, and seconds until it is warm; none, and it is warm from the first.
     pub cold: Option<(f64, f64)>,
+    /// When it starts, in seconds of the model's time: a cold one counts from then.
+    pub starts_at: f64,
     /// Work over present capacity in a window of so many seconds at which it falls over while cold, and for how
     /// long.
     pub tip: (f64, f64, f64),
@@ -20,7 +22,7 @@
 
 impl Default for Shape {
     fn default() -> Self {
-        Self { cores: 4.0, slow: 1.0, cold: None, tip: (2.5, 1.0, 1.0), sessions: 200 }
+        Self { cores: 4.0, slow: 1.0, cold: None, starts_at: 0.0, tip: (2.5, 1.0, 1.0), sessions: 200 }
     }
 }
 
@@ -52,7 +54,9 @@
 
     fn warm(&self, at: f64) -> f64 {
         match self.shape.cold {
-            Some((from, ramp)) if at < ramp => from + (1.0 - from) * at / ramp,
+            Some((from, ramp)) if at - self.shape.starts_at < ramp => {
+                from + (1.0 - from) * (at - self.shape.starts_at).max(0.0) / ramp
+            }
             _ => 1.0,
         }
     }
@@ -70,7 +74,7 @@
             let pace = self.pace();
             let first =
                 self.running.values().map(|(left, threads)| left / (threads * pace)).fold(f64::MAX, f64::min);
-            let cold = self.shape.cold.is_some_and(|c| self.now < c.1);
+            let cold = self.warm(self.now) < 1.0;
             let step = (to - self.now).min(first).min(if cold { STEP } else { f64::MAX });
             self.now += step;
             for (left, threads) in self.running.values_mut() {
@@ -88,7 +92,7 @@
         let pace = self.pace();
         let first =
             self.running.values().map(|(left, threads)| left / (threads * pace)).min_by(f64::total_cmp);
-        let cold = self.shape.cold.is_some_and(|c| self.now < c.1);
+        let cold = self.warm(self.now) < 1.0;
         first.map(|f| if cold { f.min(STEP) } else { f }.max(1e-6))
     }
 
