--- a/gateway/src/names/mod.rs
+++ b/gateway/src/names/mod.rs
@@ -175,7 +175,11 @@
 /// Changes of the list, each with its gate.
 pub fn with_gates(gates: &mut Gates, changes: Vec<Listed>) -> Vec<(Listed, Gate)> {
     let now = Instant::now();
-    changes.into_iter().map(|l| (gates.take(&l.entry, now), l)).map(|(gate, l)| (l, gate)).collect()
+    let with_gate = |listed: Listed| {
+        let gate = gates.take(&listed.entry, now);
+        (listed, gate)
+    };
+    changes.into_iter().map(with_gate).collect()
 }
 
 /// The broker has ended.
