--- a/src/policy.rs
+++ b/src/policy.rs
@@ -297,8 +297,8 @@
 
     // ---- Queue and release
 
-    /// Sends what may go: late queries first, highest worth leading; then in rising target order. It looks at the
-    /// heads of the classes' lines only, so that a step costs no more however much is held.
+    /// Sends what may go: late queries first, highest worth leading; then in rising target order. It looks at
+    /// the heads of the classes' lines only, so that a step costs no more however much is held.
     fn release(&mut self, actions: &mut Vec<Action>) {
         let mut heads = vec![Some((i64::MIN, 0, RequestId(0))); self.classes.len()];
         loop {
@@ -323,8 +323,8 @@
             }
             match self.route(id) {
                 Some(engine) => self.send(id, engine, actions),
-                // Where there is no room for one of a class there is none for its next; further attempts look for
-                // themselves, and so do loads, which wait for their tables.
+                // No room for one of a class is none for its next; further attempts look for themselves, and
+                // so do loads, which wait for their tables.
                 None if further || self.settings.classes[class].is_load => {}
                 None => heads[class] = None,
             }
