Look at the gate anew after telling of what was withdrawn

Change: after a withdrawal nothing is written; the next round looks at every gate again and writes without a wait between. The case of an empty buffer at the write is gone with it.

--- a/gateway/src/engine/resp/connection.rs
+++ b/gateway/src/engine/resp/connection.rs
@@ -163,9 +163,12 @@
                         return Over::Broken;
                     }
                     // Looked at last before the bytes go: they may have lain here while the socket was full.
-                    self.withdraw_shut(Instant::now()).await;
+                    // Telling of what was withdrawn may take long; then it is looked at anew.
+                    if self.withdraw_shut(Instant::now()).await {
+                        continue;
+                    }
                     match writer.try_write(&self.out) {
-                        Ok(n) if n > 0 || self.out.is_empty() => {
+                        Ok(n) if n > 0 => {
                             self.out.advance(n);
                             self.written += n as u64;
                             while self.unbegun.front().is_some_and(|o| o.begins < self.written) {
@@ -207,10 +210,10 @@
     }
 
     /// Takes orders whose engine's gate has shut out of what is to be written, unless they have begun to be. They
-    /// never ran.
-    async fn withdraw_shut(&mut self, now: Instant) {
+    /// never ran. Whether there were any.
+    async fn withdraw_shut(&mut self, now: Instant) -> bool {
         if self.unbegun.iter().all(|o| o.gate.open(now)) {
-            return;
+            return false;
         }
         let (mut kept, mut from, mut less) = (BytesMut::new(), self.written, 0);
         for mut order in std::mem::take(&mut self.unbegun) {
@@ -236,6 +239,7 @@
         kept.extend_from_slice(&self.out[(from - self.written) as usize..]);
         self.out = kept;
         self.queued -= less;
+        true
     }
 
     fn put(&mut self, words: &[&[u8]]) {
