Leave a gateway's part of the pool room for what chance gives it

Cause: route's spare, out + width <= bounds (src/policy.rs). At 100 front ends the even part is 1 to 5 threads, about one query; each is held to it as if its own swings were the pool's, in which those of a hundred cancel out. Change: two deviations of chance on top, 2 sqrt(bounds x width x (1 - 1/gateways)): none for a single front end.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,6 +34,8 @@
 const PRESSURE: f64 = 2.0;
 /// Mean reported share of an engine's scarcest resource from which it is pressed.
 const BUSY: f64 = 0.6;
+/// Deviations of chance that a gateway's part of the pool leaves room for: one in 40 is beyond two.
+const DEVIATIONS: f64 = 2.0;
 /// Weight of the latest sign of how slow an engine is: one query's spread counts half.
 const LOOK: f64 = 0.5;
 /// Share of the wait until its target after which a held query is refused rather than served late.
@@ -446,7 +448,7 @@
         // out must fit in all bounds together.
         let usable = self.engines.values().filter(|e| self.healthy(e) && !e.gone);
         let (out, bounds) = usable.fold((0.0, 0.0), |(t, b), e| (t + e.threads, b + e.bound));
-        let spare = out == 0.0 || out + width <= bounds;
+        let spare = out == 0.0 || out + width <= bounds + self.chance(bounds, width);
         let mut reached = Vec::new();
         for (&eid, engine) in &self.engines {
             let open = self.allowed(request, engine) && self.healthy(engine);
@@ -469,6 +471,13 @@
         found.map(|f: (_, EngineId)| f.1)
     }
 
+    /// What a gateway's traffic swings by beside an even part of so many threads. The pool bears the sum, in
+    /// which the swings of many cancel out; held to its even part, each would turn away what others leave free.
+    /// Hurts where all have too much at once, until the bounds are cut.
+    fn chance(&self, threads: f64, width: f64) -> f64 {
+        DEVIATIONS * (threads * width * (1.0 - 1.0 / f64::from(self.settings.gateways))).sqrt()
+    }
+
     /// How slow an engine looks: what was last heard of it, fading towards the pool's mean in the time that
     /// the longest class runs, as what loads it now will then have left.
     fn looks(&self, engine: &Engine) -> f64 {
