Judge thin evidence by its age and by the pool's, and keep to open connections

Change: the pool's latencies stand in before its reports; outcomes fade by the second, two failures within five seconds or one refused connection are enough; an engine without a connection is taken where others look a quarter of a best latency slower, new and cold engines always; a held request has at least a quarter of its aim.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -255,6 +255,7 @@
         priorities: own.priorities,
         max_grant_share: own.max_grant_share.map_or(1.0, sound),
         notes_every: (own.progress_us > 0.0).then(|| span(own.progress_us)),
+        idle_close: (limits.keepalive_us > 0.0).then(|| span(limits.keepalive_us)),
     };
     settings.over_share_worth = wire.over_share_worth.map_or(1.0, sound);
     settings
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -197,6 +197,8 @@
     pub max_grant_share: f64,
     /// Time between progress notes, if there are any.
     pub notes_every: Option<Duration>,
+    /// Time after which an idle connection closes, if told.
+    pub idle_close: Option<Duration>,
 }
 
 /// All that a gateway is told at its start.
@@ -256,6 +258,7 @@
                 priorities: false,
                 max_grant_share: 1.0,
                 notes_every: None,
+                idle_close: None,
             },
             over_share_worth: 1.0,
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,6 +34,9 @@
 const PRESSURE: f64 = 2.0;
 /// Mean reported share of an engine's scarcest resource from which it is pressed.
 const BUSY: f64 = 0.6;
+/// An engine with no connection of ours is taken where the others look slower by more than this, in best
+/// latencies: a front end with little traffic would otherwise keep opening some to all, in turn.
+const NEW_CONNECTION: f64 = 0.25;
 /// Deviations of chance that a gateway's part of the pool leaves room for: one in 40 is beyond two.
 const DEVIATIONS: f64 = 2.0;
 /// Weight of the latest sign of how slow an engine is: one query's spread counts half.
@@ -52,6 +55,9 @@
 const NOTES_MISSED: i64 = 5;
 /// Quarantine: share of failures that starts it, first length, longest length.
 const BAD_SHARE: f64 = 0.25;
+/// Two failures, the first up to five periods old: what came before fades, or a front end that meets an engine
+/// every few seconds would set last minute's successes against what fails now.
+const TWO_FAILURES: f64 = 1.23;
 const QUARANTINE: i64 = SECOND;
 const QUARANTINE_MOST: i64 = 8 * SECOND;
 /// At most this share of the engines in service sits in quarantine: beyond it the cause is elsewhere.
@@ -391,7 +397,7 @@
         // Reports of the pool stand in for own latencies, of which a gateway with little traffic has too few.
         let busy = own.busy.get(LEAST_SAMPLES).or(pool.busy.get(LEAST_SAMPLES));
         let stands_in =
-            busy.is_some_and(|b| b > BUSY) || pool.slowdown.get(LEAST_SAMPLES).is_some_and(|s| s > PRESSURE);
+            pool.slowdown.get(LEAST_SAMPLES).map_or(busy.is_some_and(|b| b > BUSY), |s| s > PRESSURE);
         engine.full_until > self.now
             || own.slowdown.get(LEAST_SAMPLES).map_or(stands_in, |s| s > PRESSURE)
             || own.watch.age.get(3.0).or(pool.watch.age.get(3.0)).is_some_and(|a| a > 2.0 * PRESSURE)
@@ -430,6 +436,7 @@
             }
             engine.pressed = signs || engine.reached && engine.pressed;
             engine.reached = false;
+            engine.failures.n *= 0.75;
             fade(&mut engine.evidence);
         }
         ends.then(|| fade(&mut self.pool));
@@ -463,7 +470,9 @@
             }
             let away = self.settings.zone.is_some() && engine.entry.zone != self.settings.zone;
             let again = request.last_engine == Some(eid);
-            let looks = if holds { 0 } else { (self.looks(engine) * 16.0) as u64 };
+            let opens = if self.connected(engine) { 0.0 } else { NEW_CONNECTION };
+            let looks = if holds { 0.0 } else { self.looks(engine) };
+            let looks = ((looks + opens) * 16.0) as u64;
             let rank = (again, engine.count, looks, away, engine.last_send, mix(u64::from(eid.0) ^ self.tie));
             found = found.into_iter().chain([(rank, eid)]).min();
         }
@@ -471,6 +480,12 @@
         found.map(|f: (_, EngineId)| f.1)
     }
 
+    /// A connection of ours to it should still be open. One that has just come needs them from all.
+    fn connected(&self, engine: &Engine) -> bool {
+        let lasts = self.settings.engine.idle_close.map_or(i64::MAX, us);
+        engine.count > 0 || self.now - engine.last_send < lasts || self.warm_at(engine) < 1.0
+    }
+
     /// What a gateway's traffic swings by beside an even part of so many threads. The pool bears the sum, in
     /// which the swings of many cancel out; held to its even part, each would turn away what others leave free.
     /// Hurts where all have too much at once, until the bounds are cut.
@@ -575,7 +590,10 @@
             // What comes back after refused connections may be cold, though the list does not say so yet.
             engine.cold_since = Some(self.now);
         }
-        let bad = engine.trial > 0 || engine.failures.get(4.0).is_some_and(|f| f > BAD_SHARE);
+        // A refused connection tells of the engine, whatever was asked; an answer may be the request's fault.
+        let (share, failures) = (engine.failures.value, engine.failures.value * engine.failures.n);
+        let shown = outcome == Outcome::ConnectFailed || failures > TWO_FAILURES;
+        let bad = engine.trial > 0 || shown && share > BAD_SHARE;
         if !failed {
             engine.trial = engine.trial.saturating_sub(1);
             engine.backoff = if engine.trial == 0 { QUARANTINE } else { engine.backoff };
@@ -857,7 +875,10 @@
         // What is told to cost more than usual takes more from those in line and waits for less.
         let usual = self.classes[request.arrival.class.0].told.get(LEAST_SAMPLES);
         let dear = usual.zip(request.arrival.work).map_or(1.0, |(u, w)| us(w) as f64 / u.max(1.0));
-        let wait = (request.target - request.arrived).max(0) as f64 * WAIT_SHARE / (tries * dear.max(1.0));
+        // Where a class's mean is near its aim its targets lie in the past; a moment without room is no overload.
+        let least = us(class.aim).min(request.deadline - request.arrived) / 4;
+        let wait =
+            (request.target - request.arrived).max(least) as f64 * WAIT_SHARE / (tries * dear.max(1.0));
         let late_earns = self.earns(request.arrival.class.0) * class.late_worth;
         late_earns < most_earned && self.may_refuse(request) && (self.now - request.arrived) as f64 > wait
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -54,6 +54,40 @@
     assert!(!rig.logged("quarantine"));
 }
 
+/// The last of so many queries, two seconds apart, that an engine did not answer; the others do, all along.
+fn asked_of_a_bad_engine(outcome: Outcome, first_well: usize) -> usize {
+    let mut settings = settings();
+    settings.gateways = 100;
+    let mut rig = Rig::new(settings, 3);
+    let mut met = 0;
+    for round in 0..first_well + 12 {
+        // Both others have one out, so that the third is next.
+        let (one, two) = (rig.arrive(0), rig.arrive(0));
+        let third = rig.arrive(0);
+        for id in [one, two, third] {
+            let bad = rig.sent(id) == [EngineId(0)] && round >= first_well;
+            met += usize::from(bad);
+            rig.end(id, 0, if bad { outcome } else { Outcome::Ok });
+            if bad {
+                rig.end(id, 1, Outcome::Ok);
+            }
+        }
+        rig.pass(ms(2000));
+    }
+    met
+}
+
+#[test]
+fn a_front_end_that_meets_an_engine_every_few_seconds_learns_from_two_errors_or_one_refused_connection() {
+    // Of twelve meetings in 24 s; then quarantines of 1, 2, 4 and 8 s, a query after each.
+    let (errors, refused) =
+        (asked_of_a_bad_engine(Outcome::Error, 0), asked_of_a_bad_engine(Outcome::ConnectFailed, 0));
+    assert!(errors <= 6 && refused <= 5, "{errors} errors, {refused} refused connections");
+    // Twenty good answers before, forty seconds long, weigh no more than the present.
+    let late = asked_of_a_bad_engine(Outcome::Error, 20);
+    assert!(late <= 6, "{late} errors after a long while of good answers");
+}
+
 #[test]
 fn an_attempt_that_misses_its_notes_is_tried_elsewhere_though_its_engine_is_well() {
     let mut settings = settings();
@@ -283,6 +317,24 @@
     }
 }
 
+#[test]
+fn a_light_gateway_keeps_to_its_connections_where_engines_close_idle_ones() {
+    let mut settings = settings();
+    settings.engine.idle_close = Some(ms(15_000));
+    let mut rig = Rig::new(settings, 30);
+    let met = |rig: &Rig, ids: &[RequestId]| (0..31).filter(|e| share(rig, ids, *e) > 0.0).count();
+    let ids = trickle(&mut rig, 60, |_| Some(Outcome::Ok));
+    assert_eq!(met(&rig, &ids), 1, "one query at a time needs one connection, not thirty");
+    // Fewest own queries still comes first, and an engine that has just started gets its part.
+    let together: Vec<_> = (0..4).map(|_| rig.arrive(0)).collect();
+    assert_eq!(met(&rig, &together), 4);
+    together.iter().for_each(|id| drop(rig.end(*id, 0, Outcome::Ok)));
+    let entry = EngineEntry { started: Some(Time(rig.now - 11_000_000)), ..EngineEntry::new(EngineId(30)) };
+    rig.step(&[Event::Engines { scope: ListScope::Changes, entries: vec![entry] }]);
+    let ids = trickle(&mut rig, 20, |_| Some(Outcome::Ok));
+    assert!(share(&rig, &ids, 30) > 0.0, "the new one is left out");
+}
+
 #[test]
 fn many_gateways_do_not_each_fill_an_engine() {
     let out = |gateways| {
@@ -441,6 +493,43 @@
     assert!(out(0.95) <= 4, "bounds bind before latency shows the jam: {}", out(0.95));
 }
 
+#[test]
+fn reports_of_busy_engines_bind_nothing_while_the_pool_s_latencies_are_good() {
+    // Enough answers of the pool for its own latencies to judge: 0.7 busy is no pressure by itself.
+    let mut rig = one_of_a_hundred(0, 0.7);
+    for _ in 0..20 {
+        let request = rig.arrive(0);
+        rig.pass(ms(20));
+        let load = Some(LoadReport { cpu: Some(0.7), ..LoadReport::default() });
+        let (attempt, outcome) = (AttemptNo(0), Outcome::Ok);
+        rig.step(&[Event::Ended(Ended { request, attempt, outcome, closed: true, bill: None, load })]);
+    }
+    // Before that, the reports stood in; a period without reaching the bounds ends it.
+    rig.pass(ms(1100));
+    let ids: Vec<_> = (0..30).map(|_| rig.arrive(0)).collect();
+    assert_eq!(ids.iter().filter(|id| !rig.sent(**id).is_empty()).count(), 30);
+}
+
+#[test]
+fn a_class_whose_mean_is_past_its_aim_is_held_for_a_moment_before_it_is_refused() {
+    let mut settings = settings();
+    settings.classes[1].late_worth = 0.0;
+    let mut rig = Rig::new(settings, 1);
+    // Long queries take twice their aim here, so that their targets lie before their arrival.
+    for _ in 0..3 {
+        let id = rig.arrive(1);
+        rig.pass(ms(6000));
+        rig.end(id, 0, Outcome::Ok);
+    }
+    // The one engine is full for a tenth of a second.
+    let id = rig.arrive(1);
+    rig.end(id, 0, Outcome::Full);
+    rig.pass(ms(60));
+    assert!(!rig.refused(id), "a moment without room is no overload");
+    rig.pass(ms(60));
+    assert_eq!(rig.sent(id).len(), 2);
+}
+
 #[test]
 fn ties_go_to_the_engine_that_last_looked_least_slow() {
     let mut rig = Rig::new(settings(), 3);
