Keep a reserve in each gateway's part for the class that earns most

Seen: a probe in every front end counts lookups as what finds no room, 9 times of 10, in every second in which latencies are over twice the best; 4 to 6 threads are out of bounds of 1.5 to 5: one statement (3 threads, 0.8 to 3 s) and one load. Cause: route's room is the same for all classes (chance, src/policy.rs): with an even part of one query the wide and long one takes it, at a hundred front ends alike; in a small fleet the bound holds both. Change: the class that earns most for its work may swing by four deviations, the others by two.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,6 +39,8 @@
 const NEW_CONNECTION: f64 = 0.25;
 /// Deviations of chance that a gateway's part of the pool leaves room for: one in 40 is beyond two.
 const DEVIATIONS: f64 = 2.0;
+/// The same for the class that earns most for its work: as much again.
+const RESERVED: f64 = 2.0 * DEVIATIONS;
 /// Weight of the latest sign of how slow an engine is: one query's spread counts half.
 const LOOK: f64 = 0.5;
 /// Share of the wait until its target after which a held query is refused rather than served late.
@@ -455,7 +457,7 @@
         // out must fit in all bounds together.
         let usable = self.engines.values().filter(|e| self.healthy(e) && !e.gone);
         let (out, bounds) = usable.fold((0.0, 0.0), |(t, b), e| (t + e.threads, b + e.bound));
-        let spare = out == 0.0 || out + width <= bounds + self.chance(bounds, width);
+        let spare = out == 0.0 || out + width <= bounds + self.chance(class, bounds, width);
         let mut reached = Vec::new();
         for (&eid, engine) in &self.engines {
             let open = self.allowed(request, engine) && self.healthy(engine);
@@ -488,9 +490,12 @@
 
     /// What a gateway's traffic swings by beside an even part of so many threads. The pool bears the sum, in
     /// which the swings of many cancel out; held to its even part, each would turn away what others leave free.
-    /// Hurts where all have too much at once, until the bounds are cut.
-    fn chance(&self, threads: f64, width: f64) -> f64 {
-        DEVIATIONS * (threads * width * (1.0 - 1.0 / f64::from(self.settings.gateways))).sqrt()
+    /// Hurts where all have too much at once, until the bounds are cut. The class that earns most for its work
+    /// keeps a reserve of its own: one wide query that runs for seconds would shut out twenty of those.
+    fn chance(&self, class: ClassId, threads: f64, width: f64) -> f64 {
+        let first = self.earns(class.0) >= self.most_earned();
+        (if first { RESERVED } else { DEVIATIONS })
+            * (threads * width * (1.0 - 1.0 / f64::from(self.settings.gateways))).sqrt()
     }
 
     /// How slow an engine looks: what was last heard of it, fading towards the pool's mean in the time that
