--- a/src/policy.rs
+++ b/src/policy.rs
@@ -57,8 +57,8 @@
 const NOTES_MISSED: i64 = 5;
 /// Quarantine: share of failures that starts it, first length, longest length.
 const BAD_SHARE: f64 = 0.25;
-/// Two failures, the first up to five periods old: what came before fades, or a front end that meets an engine
-/// every few seconds would set last minute's successes against what fails now.
+/// Two failures, the first up to five periods old: what came before fades, or a front end that meets an
+/// engine every few seconds would set last minute's successes against what fails now.
 const TWO_FAILURES: f64 = 1.23;
 const QUARANTINE: i64 = SECOND;
 const QUARANTINE_MOST: i64 = 8 * SECOND;
@@ -489,9 +489,9 @@
     }
 
     /// What a gateway's traffic swings by beside an even part of so many threads. The pool bears the sum, in
-    /// which the swings of many cancel out; held to its even part, each would turn away what others leave free.
-    /// Hurts where all have too much at once, until the bounds are cut. The class that earns most for its work
-    /// keeps a reserve of its own: one wide query that runs for seconds would shut out twenty of those.
+    /// which the swings of many cancel out; held to its even part, each would turn away what others leave
+    /// free. Hurts where all have too much at once, until the bounds are cut. The class that earns most for
+    /// its work keeps a reserve of its own: one wide query that runs for seconds would shut out many of it.
     fn chance(&self, class: ClassId, threads: f64, width: f64) -> f64 {
         let first = self.earns(class.0) >= self.most_earned();
         (if first { RESERVED } else { DEVIATIONS })
@@ -880,7 +880,8 @@
         // What is told to cost more than usual takes more from those in line and waits for less.
         let usual = self.classes[request.arrival.class.0].told.get(LEAST_SAMPLES);
         let dear = usual.zip(request.arrival.work).map_or(1.0, |(u, w)| us(w) as f64 / u.max(1.0));
-        // Where a class's mean is near its aim its targets lie in the past; a moment without room is no overload.
+        // Where a class's mean is near its aim its targets lie in the past; a moment without room is no
+        // overload.
         let least = us(class.aim).min(request.deadline - request.arrived) / 4;
         let wait =
             (request.target - request.arrived).max(least) as f64 * WAIT_SHARE / (tries * dear.max(1.0));
