--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -371,14 +371,19 @@
     let mut settings = settings();
     (settings.gateways, settings.ordinal) = (100, ordinal as u32);
     let mut rig = Rig::with_seed(settings, 30, ordinal);
-    for _ in 0..10 {
+    serve_reporting(&mut rig, 10, cpu);
+    rig
+}
+
+/// Serves so many quick queries, one after the other, whose answers report how busy their engine is.
+fn serve_reporting(rig: &mut Rig, count: usize, cpu: f64) {
+    for _ in 0..count {
         let request = rig.arrive(0);
         rig.pass(ms(20));
         let load = Some(LoadReport { cpu: Some(cpu), ..LoadReport::default() });
         let (attempt, outcome) = (AttemptNo(0), Outcome::Ok);
         rig.step(&[Event::Ended(Ended { request, attempt, outcome, closed: true, bill: None, load })]);
     }
-    rig
 }
 
 #[test]
@@ -489,13 +494,7 @@
         let mut settings = settings();
         settings.gateways = 300;
         let mut rig = Rig::new(settings, 20);
-        for _ in 0..10 {
-            let request = rig.arrive(0);
-            rig.pass(ms(20));
-            let load = Some(LoadReport { cpu: Some(cpu), ..LoadReport::default() });
-            let (attempt, outcome) = (AttemptNo(0), Outcome::Ok);
-            rig.step(&[Event::Ended(Ended { request, attempt, outcome, closed: true, bill: None, load })]);
-        }
+        serve_reporting(&mut rig, 10, cpu);
         let ids: Vec<_> = (0..20).map(|_| rig.arrive(0)).collect();
         ids.iter().filter(|id| !rig.sent(**id).is_empty()).count()
     };
@@ -507,13 +506,7 @@
 fn reports_of_busy_engines_bind_nothing_while_the_pool_s_latencies_are_good() {
     // Enough answers of the pool for its own latencies to judge: 0.7 busy is no pressure by itself.
     let mut rig = one_of_a_hundred(0, 0.7);
-    for _ in 0..20 {
-        let request = rig.arrive(0);
-        rig.pass(ms(20));
-        let load = Some(LoadReport { cpu: Some(0.7), ..LoadReport::default() });
-        let (attempt, outcome) = (AttemptNo(0), Outcome::Ok);
-        rig.step(&[Event::Ended(Ended { request, attempt, outcome, closed: true, bill: None, load })]);
-    }
+    serve_reporting(&mut rig, 20, 0.7);
     // Before that, the reports stood in; a period without reaching the bounds ends it.
     rig.pass(ms(1100));
     let ids: Vec<_> = (0..30).map(|_| rig.arrive(0)).collect();
