--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -54,7 +54,8 @@
     assert!(!rig.logged("quarantine"));
 }
 
-/// The last of so many queries, two seconds apart, that an engine did not answer; the others do, all along.
+/// How many queries the first of three engines is sent, one every two seconds at most, after it has gone bad; it was
+/// well for so many rounds before.
 fn asked_of_a_bad_engine(outcome: Outcome, first_well: usize) -> usize {
     let mut settings = settings();
     settings.gateways = 100;
