--- a/cores/src/fence.rs
+++ b/cores/src/fence.rs
@@ -29,6 +29,11 @@
         now < self.0.load(Ordering::Acquire)
     }
 
+    /// Is it this very fence?
+    pub fn same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+
     /// Nobody has said yet that it will close.
     pub fn untouched(&self) -> bool {
         self.0.load(Ordering::Acquire) == OPEN
@@ -42,6 +47,8 @@
     InService,
     /// It takes nothing new once the grace is over.
     Draining,
+    /// Operators have taken it out: nothing new from now on.
+    Out,
     /// It is not there; another may have its address.
     Gone,
 }
@@ -67,7 +74,7 @@
             Standing::InService if !fence.untouched() => *fence = Fence::default(),
             Standing::InService => {}
             Standing::Draining => fence.close(now.saturating_add(self.grace)),
-            Standing::Gone => fence.close(now),
+            Standing::Out | Standing::Gone => fence.close(now),
         }
         let fence = fence.clone();
         if standing == Standing::Gone {
--- a/gateway/src/broker/desk.rs
+++ b/gateway/src/broker/desk.rs
@@ -1,7 +1,8 @@
 //! Where the fronts hand requests in.
 
-use super::message::{Answer, Ask, Input, Refusal};
-use reedwalk_core::RequestId;
+use super::message::{Answer, Ask, Failure, Input, Refusal};
+use crate::figures::{Ending, Figures, Taken};
+use reedwalk_core::{ClassId, RequestId};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -14,6 +15,7 @@
 #[derive(Clone, Debug)]
 pub struct Desk {
     queue: mpsc::Sender<Input>,
+    figures: Arc<Figures>,
     next: Arc<AtomicU64>,
 }
 
@@ -23,13 +25,19 @@
     id: RequestId,
     answer: oneshot::Receiver<Answer>,
     queue: mpsc::Sender<Input>,
+    taken: Taken,
     answered: bool,
 }
 
 impl Desk {
-    /// A desk in front of the broker's queue.
-    pub fn new(queue: mpsc::Sender<Input>) -> Self {
-        Self { queue, next: Arc::default() }
+    /// A desk in front of the broker's queue that counts what is handed in.
+    pub fn new(queue: mpsc::Sender<Input>, figures: Arc<Figures>) -> Self {
+        Self { queue, figures, next: Arc::default() }
+    }
+
+    /// A request that its front answers by itself, before it could be handed in.
+    pub fn turned_away(&self, class: ClassId, ending: Ending) {
+        self.figures.take(class).end(ending);
     }
 
     /// A number that this desk has not given before, spread over all values: an id for a request without one.
@@ -45,9 +53,13 @@
     pub fn ask(&self, ask: Ask) -> Result<Ticket, Answer> {
         let id = RequestId(self.next.fetch_add(1, Ordering::Relaxed));
         let (reply, answer) = oneshot::channel();
+        let mut taken = self.figures.take(ask.class);
         match self.queue.try_send(Input::Arrival(id, Box::new(ask), reply)) {
-            Ok(()) => Ok(Ticket { id, answer, queue: self.queue.clone(), answered: false }),
-            Err(_) => Err(Answer::Refused { why: Refusal::Shed, retry_after: Some(SHED_RETRY) }),
+            Ok(()) => Ok(Ticket { id, answer, queue: self.queue.clone(), taken, answered: false }),
+            Err(_) => {
+                taken.end(Ending::Rejected);
+                Err(Answer::Refused { why: Refusal::Shed, retry_after: Some(SHED_RETRY) })
+            }
         }
     }
 }
@@ -57,8 +69,15 @@
     pub async fn answer(&mut self) -> Option<Answer> {
         let answer = (&mut self.answer).await.ok();
         self.answered = true;
+        self.taken.end(answer.as_ref().map_or(Ending::Failed, Ending::from));
         answer
     }
+
+    /// The front fails it by itself; the broker hears of it when the ticket is dropped.
+    pub fn fail(&mut self, why: Failure) -> Answer {
+        self.taken.end(Ending::Failed);
+        Answer::Failed(why)
+    }
 }
 
 impl Drop for Ticket {
--- a/gateway/src/broker/message.rs
+++ b/gateway/src/broker/message.rs
@@ -201,8 +201,6 @@
     News(AttemptKey, News),
     /// Whether a request's team may still spend.
     Verdict(RequestId, Verdict),
-    /// Changed entries of the list of engines, each with the gate for what is sent there from here on.
-    Engines(Vec<(Listed, Gate)>),
 }
 
 impl<L: EngineLinks + ?Sized> EngineLinks for Box<L> {
@@ -221,6 +219,9 @@
     fn over(&mut self, key: AttemptKey) {
         (**self).over(key);
     }
+    fn share(&mut self, share: f64) {
+        (**self).share(share);
+    }
 }
 
 /// Starts and stops attempts at the engines. Nothing here waits: what comes of an attempt reaches the broker
@@ -236,4 +237,6 @@
     fn boost(&mut self, key: AttemptKey, priority: u8);
     /// The attempt has ended by itself; its place is free.
     fn over(&mut self, key: AttemptKey);
+    /// From now on this share of the connections may be held, the rest is another process's.
+    fn share(&mut self, share: f64);
 }
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -5,22 +5,26 @@
 
 mod desk;
 mod message;
+mod roll;
 
 pub use desk::{Desk, Ticket};
 pub use message::*;
+pub use roll::Roll;
 
 use crate::contracts::{Contracts, Verdict};
+use crate::figures::Figures;
 use bytes::Bytes;
 use reedwalk_core::{
     Action, Arrival, AttemptNo, Ended, EngineId, EngineState, Event, Gateway, GroupId, ListScope, Outcome,
     RequestId, Time,
 };
+use reedwalk_membership::Part;
 use reedwalk_settings::Deployment;
 use slog::{Logger, debug, info, warn};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
 /// Inputs that wait for the broker at most.
@@ -71,8 +75,21 @@
     pub sent: u64,
 }
 
+/// What the broker shares with the rest of the program.
+#[derive(Clone, Debug)]
+pub struct Shared {
+    /// Where the list's owner writes.
+    pub roll: Roll,
+    /// What is reported.
+    pub figures: Arc<Figures>,
+    /// This process's part of the front end.
+    pub part: watch::Receiver<Part>,
+}
+
 /// The one owner of the decision module.
 pub struct Broker<L> {
+    shared: Shared,
+    share: f64,
     gateway: Gateway,
     links: L,
     contracts: Option<Arc<Contracts>>,
@@ -103,6 +120,7 @@
         links: L,
         deployment: &Deployment,
         contracts: Option<Arc<Contracts>>,
+        shared: Shared,
         queue: mpsc::Sender<Input>,
         log: Logger,
     ) -> Self {
@@ -111,6 +129,8 @@
         Self {
             gateway,
             links,
+            shared,
+            share: 1.0,
             log,
             open: HashMap::new(),
             traces: HashSet::new(),
@@ -138,9 +158,14 @@
             let idle = Instant::now() + Duration::from_secs(1);
             tokio::select! {
                 taken = queue.recv_many(&mut batch, BATCH) => if taken == 0 { return },
+                () = self.shared.roll.changed() => {}
+                Ok(()) = self.shared.part.changed() => {}
                 () = sleep_until(next.unwrap_or(idle)) => {}
             }
             let now = Instant::now();
+            // What holds of the engines is known before anything is decided.
+            self.engines();
+            self.take_part();
             for input in batch.drain(..) {
                 self.take(input, now);
             }
@@ -149,6 +174,31 @@
         }
     }
 
+    /// Reads what the list's owner has written.
+    fn engines(&mut self) {
+        let listed = self.shared.roll.read();
+        if listed.is_empty() {
+            return;
+        }
+        let mut entries = Vec::with_capacity(listed.len());
+        for (one, gate) in listed {
+            let gone = one.entry.state == EngineState::Gone;
+            self.links.place(one.entry.engine, (!gone).then_some((one.address, gate)));
+            entries.push(one.entry);
+        }
+        self.pending.push(Event::Engines { scope: ListScope::Changes, entries });
+    }
+
+    /// Keeps to this process's part where that has changed.
+    fn take_part(&mut self) {
+        let share = self.shared.part.borrow_and_update().share;
+        if share != self.share {
+            self.share = share;
+            self.links.share(share);
+            self.pending.push(Event::Part(share));
+        }
+    }
+
     fn time(&self, now: Instant) -> Time {
         Time(self.epoch.0 + now.saturating_duration_since(self.epoch.1).as_micros() as u64)
     }
@@ -174,21 +224,12 @@
                     self.ended(key, end);
                 }
             }
-            Input::Engines(listed) => {
-                let mut entries = Vec::with_capacity(listed.len());
-                for (one, gate) in listed {
-                    let gone = one.entry.state == EngineState::Gone;
-                    self.links.place(one.entry.engine, (!gone).then_some((one.address, gate)));
-                    entries.push(one.entry);
-                }
-                self.pending.push(Event::Engines { scope: ListScope::Changes, entries });
-            }
         }
     }
 
     fn arrive(&mut self, id: RequestId, ask: Ask, reply: oneshot::Sender<Answer>, now: Instant) {
         self.tally.taken += 1;
-        if self.open.len() >= self.open_cap {
+        if self.open.len() as f64 >= self.open_cap as f64 * self.share {
             self.tally.refused += 1;
             let _ = reply.send(Answer::Refused { why: Refusal::Shed, retry_after: self.retry_after });
             return;
@@ -318,6 +359,7 @@
             let gone = |o: &Open| o.reply.as_ref().is_some_and(oneshot::Sender::is_closed);
             let gone: Vec<_> = self.open.iter().filter(|o| gone(o.1)).map(|o| *o.0).collect();
             gone.into_iter().for_each(|id| self.left(id));
+            self.shared.figures.set_unavailable(self.gateway.avoided());
             self.report(now);
         }
     }
--- a/gateway/src/cli.rs
+++ b/gateway/src/cli.rs
@@ -1,11 +1,10 @@
 //! The command line.
 
-use crate::config::{self, Config, ConfigError};
+use crate::config::{self, Config, ConfigError, Surroundings};
 use crate::operator::Operator;
 use crate::serve;
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use std::ffi::OsString;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -41,10 +40,9 @@
     Ok(Options { operator, config: config.ok_or_else(|| ConfigError::NoFile.to_string())?, level })
 }
 
-/// Reads the configuration, with the name and the address that the environment gives.
+/// Reads the configuration, with the name and the addresses that the environment gives.
 fn read(path: &Path) -> Result<Config, ConfigError> {
-    let listen = std::env::var("GW_LISTEN").ok().map(|text| text.parse::<SocketAddr>()).transpose();
-    config::read(path, std::env::var("GW_NAME").ok(), listen.map_err(ConfigError::Listen)?)
+    config::read(path, Surroundings::read()?)
 }
 
 fn load(options: &Options) -> Result<(Config, Operator), String> {
@@ -70,6 +68,10 @@
             let (config, operator) = load(&options)?;
             let classes = config.deployment.sockets.classes.join(", ");
             println!("{}: listens on {}, classes {classes}", config.name, config.listen);
+            match config.console {
+                Some(console) => println!("console: listens on {console}"),
+                None => println!("console: off"),
+            }
             println!("cores: {}", operator.cores.max(1));
             let log = Logger::root(slog::Discard, o!());
             let contracts =
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -31,8 +31,8 @@
     Known(serde_json::Error),
     /// Its seed is no hexadecimal number.
     Seed,
-    /// `GW_LISTEN` is no address.
-    Listen(std::net::AddrParseError),
+    /// An address from the environment is none: its variable, and what is wrong.
+    Address(&'static str, std::net::AddrParseError),
 }
 
 impl fmt::Display for ConfigError {
@@ -47,7 +47,7 @@
             Self::Unsound(error) => write!(f, "{error}"),
             Self::Known(error) => write!(f, "known: {error}"),
             Self::Seed => write!(f, "seed: no hexadecimal number"),
-            Self::Listen(error) => write!(f, "GW_LISTEN: {error}"),
+            Self::Address(variable, error) => write!(f, "{variable}: {error}"),
         }
     }
 }
@@ -64,6 +64,7 @@
     #[serde(default)]
     limits: Limits,
     names: Option<SocketAddr>,
+    console: Option<SocketAddr>,
     known: Option<serde_json::Value>,
     settings: serde_json::Value,
 }
@@ -99,6 +100,8 @@
     pub limits: Limits,
     /// Where the name server listens.
     pub names: Option<SocketAddr>,
+    /// Where operators connect; none, and the console is off.
+    pub console: Option<SocketAddr>,
     /// The name server's events up to now.
     pub known: Option<serde_json::Value>,
     /// The settings object, read.
@@ -128,17 +131,44 @@
     operator::read(&text).map_err(|fault| ConfigError::Operator(path.into(), fault))
 }
 
-/// Reads a configuration file; a name or an address from the environment go before what it says.
+/// What the environment says before the configuration file.
+#[derive(Clone, Debug, Default)]
+pub struct Surroundings {
+    /// `GW_NAME`.
+    pub name: Option<String>,
+    /// `GW_LISTEN`.
+    pub listen: Option<SocketAddr>,
+    /// `GW_CONSOLE`.
+    pub console: Option<SocketAddr>,
+}
+
+impl Surroundings {
+    /// Reads the environment.
+    ///
+    /// # Errors
+    /// Names the variable that holds no address.
+    pub fn read() -> Result<Self, ConfigError> {
+        let address = |variable: &'static str| {
+            let text = std::env::var(variable).ok().filter(|t| !t.is_empty());
+            text.map(|t| t.parse().map_err(|e| ConfigError::Address(variable, e))).transpose()
+        };
+        let (listen, console) = (address("GW_LISTEN")?, address("GW_CONSOLE")?);
+        Ok(Self { name: std::env::var("GW_NAME").ok(), listen, console })
+    }
+}
+
+/// Reads a configuration file; what the environment says goes before what it says.
 ///
 /// # Errors
 /// Says what is wrong with it.
-pub fn read(path: &Path, name: Option<String>, listen: Option<SocketAddr>) -> Result<Config, ConfigError> {
+pub fn read(path: &Path, around: Surroundings) -> Result<Config, ConfigError> {
     let text = std::fs::read(path).map_err(|e| ConfigError::Unreadable(path.into(), e))?;
     let wire: Wire = serde_json::from_slice(&text).map_err(|e| ConfigError::Malformed(path.into(), e))?;
     let seed = if wire.seed.is_empty() { "0" } else { &wire.seed };
     Ok(Config {
-        name: name.unwrap_or(wire.name),
-        listen: listen.unwrap_or(wire.listen),
+        name: around.name.unwrap_or(wire.name),
+        listen: around.listen.unwrap_or(wire.listen),
+        console: around.console.or(wire.console),
         seed: u64::from_str_radix(seed, 16).map_err(|_| ConfigError::Seed)?,
         limits: wire.limits,
         names: wire.names,
--- /dev/null
+++ b/gateway/src/console/mod.rs
@@ -0,0 +1,175 @@
+//! The operators' door: each connection carries one line and gets one answer. Nothing here waits for the broker:
+//! health is a flag, figures are atomics, and the list of engines is behind a lock that nobody holds for long.
+
+pub mod line;
+
+use crate::figures::Figures;
+use crate::members::Members;
+use bytes::BytesMut;
+use line::{BadLine, Call};
+use slog::{Logger, info, warn};
+use std::collections::VecDeque;
+use std::fmt::Write;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// Callers at a time. They have places of their own: neither clients nor engines give any up for them.
+pub const CALLERS_MOST: usize = 16;
+/// A caller's whole connection ends this long after it came, read or not.
+const ENDED_BY: Duration = Duration::from_secs(3);
+/// The end of each answer to DUMP.
+const END: &str = "EOT";
+
+/// Whether this process takes clients.
+#[derive(Clone, Debug, Default)]
+pub struct Health(Arc<AtomicBool>);
+
+impl Health {
+    /// Says so from now on, or not any more.
+    pub fn set(&self, serving: bool) {
+        self.0.store(serving, Ordering::Release);
+    }
+
+    fn serving(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// What the console answers from.
+#[derive(Debug)]
+pub struct Console {
+    health: Health,
+    figures: Arc<Figures>,
+    members: Members,
+    callers: Mutex<Callers>,
+    log: Logger,
+}
+
+/// Who is here without a whole line, the longest there first.
+#[derive(Debug, Default)]
+struct Callers {
+    next: u64,
+    here: VecDeque<(u64, oneshot::Sender<()>)>,
+}
+
+impl Callers {
+    /// A place for a newcomer; the one who has had his longest gives it up where there is none.
+    fn enter(&mut self) -> (u64, oneshot::Receiver<()>) {
+        if self.here.len() >= CALLERS_MOST {
+            // Dropped, it tells its caller to go.
+            self.here.pop_front();
+        }
+        let (stay, pushed) = oneshot::channel();
+        self.next += 1;
+        self.here.push_back((self.next, stay));
+        (self.next, pushed)
+    }
+
+    fn leave(&mut self, id: u64) {
+        self.here.retain(|c| c.0 != id);
+    }
+}
+
+impl Console {
+    /// A console that answers from these.
+    pub fn new(health: Health, figures: Arc<Figures>, members: Members, log: Logger) -> Self {
+        Self { health, figures, members, callers: Mutex::default(), log }
+    }
+
+    fn callers(&self) -> std::sync::MutexGuard<'_, Callers> {
+        self.callers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Accepts callers for as long as the program runs.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let by = Instant::now() + ENDED_BY;
+                    let (id, pushed) = self.callers().enter();
+                    let console = self.clone();
+                    tokio::spawn(async move {
+                        tokio::select! {
+                            () = console.caller(stream, id) => {}
+                            _ = pushed => {}
+                            () = sleep_until(by) => {}
+                        }
+                        console.callers().leave(id);
+                    });
+                }
+                Err(error) => {
+                    warn!(self.log, "accept failed"; "error" => %error);
+                    sleep_until(Instant::now() + Duration::from_millis(20)).await;
+                }
+            }
+            // Whoever was pushed out closes before the next one comes in.
+            tokio::task::yield_now().await;
+        }
+    }
+
+    async fn caller(&self, mut stream: TcpStream, id: u64) {
+        let _ = stream.set_nodelay(true);
+        let mut input = BytesMut::with_capacity(line::LINE_MOST + 1);
+        let call = loop {
+            match line::whole(&input) {
+                Ok(Some(line)) => break line::read(line),
+                Err(bad) => break Err(bad),
+                Ok(None) => {}
+            }
+            match stream.read_buf(&mut input).await {
+                Ok(0) if input.is_empty() => return,
+                Ok(0) => break Err(BadLine::Cut),
+                Ok(_) => {}
+                Err(_) => return,
+            }
+        };
+        let answer = match call {
+            Ok(call) => self.answer(call).await,
+            Err(bad) => {
+                info!(self.log, "no call"; "why" => %bad, "line" => ?input);
+                failure(&bad)
+            }
+        };
+        if stream.write_all(answer.as_bytes()).await.is_err() || stream.shutdown().await.is_err() {
+            return;
+        }
+        // A close over unread bytes would be a reset, which can overtake the answer. Little is waited for it.
+        let by = Instant::now() + Duration::from_millis(200);
+        let mut rest = [0; 512];
+        let drained = async { while matches!(stream.read(&mut rest).await, Ok(n) if n > 0) {} };
+        let _ = timeout_at(by, drained).await;
+        self.callers().leave(id);
+    }
+
+    async fn answer(&self, call: Call) -> String {
+        match call {
+            Call::Health if self.health.serving() => "SUCCESS\n".into(),
+            Call::Health => failure(&"this process takes no clients"),
+            Call::Dump => {
+                let mut text = self.figures.text();
+                let _ = writeln!(text, "{END}");
+                text
+            }
+            Call::Offline(id) => self.word(&id, true).await,
+            Call::Online(id) => self.word(&id, false).await,
+        }
+    }
+
+    async fn word(&self, id: &str, out: bool) -> String {
+        let said = self.members.say(id, out).await;
+        info!(self.log, "operator"; "engine" => id, "out" => out, "answer" => ?said);
+        match said {
+            Ok(()) => "SUCCESS\n".into(),
+            Err(error) => failure(&error),
+        }
+    }
+}
+
+fn failure(why: &impl std::fmt::Display) -> String {
+    format!("FAILURE {why}\n")
+}
--- a/gateway/src/engine/flight/call.rs
+++ b/gateway/src/engine/flight/call.rs
@@ -3,6 +3,7 @@
 use crate::broker::{End, Input, Native, News, Order, Rows};
 use crate::engine::pool::Heard;
 use crate::engine::{Gate, RESULT_MOST, read_load};
+use crate::figures::Figures;
 use crate::flight_meta as meta;
 use arrow_array::{Array, RecordBatch, StringArray};
 use arrow_cast::cast;
@@ -60,9 +61,13 @@
     }
 
     /// Makes the calls and tells the broker how they ended.
-    pub async fn run(mut self, queue: mpsc::Sender<Input>) {
+    pub async fn run(mut self, queue: mpsc::Sender<Input>, figures: &Figures) {
         let key = self.order.key;
         let told = if self.order.update { self.update().await } else { self.query().await };
+        // The wire's library does not tell when a call's last byte went out; what an engine answered had arrived.
+        if !matches!(&told, Err(Broken::Shut) | Err(Broken::Status(_, false))) {
+            figures.upstream();
+        }
         let end = match told {
             Ok((metadata, rows)) => {
                 let (bill, load) = (read_bill(&metadata), report(&metadata));
--- a/gateway/src/engine/flight/mod.rs
+++ b/gateway/src/engine/flight/mod.rs
@@ -7,6 +7,7 @@
 use super::pool::{Handle, Heard, Pool};
 use crate::broker::{AttemptKey, EngineLinks, Input, Order};
 use crate::cores::{Cores, Seat};
+use crate::figures::Figures;
 use hyper_util::rt::TokioIo;
 use reedwalk_core::EngineId;
 use reedwalk_settings::Sockets;
@@ -39,6 +40,7 @@
     tasks: HashMap<AttemptKey, AbortHandle>,
     sockets: Arc<Sockets>,
     queue: mpsc::Sender<Input>,
+    figures: Arc<Figures>,
     cores: Cores,
 }
 
@@ -48,6 +50,7 @@
         sockets: Arc<Sockets>,
         connections_most: usize,
         queue: mpsc::Sender<Input>,
+        figures: Arc<Figures>,
         cores: Cores,
     ) -> Self {
         Self {
@@ -55,6 +58,7 @@
             tasks: HashMap::new(),
             sockets,
             queue,
+            figures,
             cores,
         }
     }
@@ -97,8 +101,8 @@
         let class = self.sockets.classes.get(order.class.0).cloned().unwrap_or_default();
         let key = order.key;
         let call = call::Call::new(line.channel.clone(), heard.clone(), gate.clone(), order, class);
-        let queue = self.queue.clone();
-        let task = line.seat.spawn(async move { call.run(queue).await });
+        let (queue, figures) = (self.queue.clone(), self.figures.clone());
+        let task = line.seat.spawn(async move { call.run(queue, &figures).await });
         self.tasks.insert(key, task);
         true
     }
@@ -115,4 +119,8 @@
         self.tasks.remove(&key);
         self.pool.release(key, false);
     }
+
+    fn share(&mut self, share: f64) {
+        self.pool.share(share);
+    }
 }
--- a/gateway/src/engine/gate.rs
+++ b/gateway/src/engine/gate.rs
@@ -25,6 +25,11 @@
     pub fn open(&self, now: Instant) -> bool {
         self.fence.open(now.saturating_duration_since(self.epoch).as_micros() as u64)
     }
+
+    /// Does it stand before the same stay in service?
+    pub fn same(&self, other: &Self) -> bool {
+        self.fence.same(&other.fence)
+    }
 }
 
 /// The gates of all engines that are listed; the task that keeps the list owns them.
@@ -41,10 +46,12 @@
         Self { fences: Fences::new((drain_grace / 2).as_micros() as u64), epoch: Instant::now() }
     }
 
-    /// Takes in what the list says, and gives the gate for what is sent from here on.
-    pub fn take(&mut self, entry: &EngineEntry, now: Instant) -> Gate {
+    /// Takes in what holds of an engine, and gives the gate for what is sent from here on. One that operators have
+    /// taken out has no grace.
+    pub fn take(&mut self, entry: &EngineEntry, out: bool, now: Instant) -> Gate {
         let standing = match entry.state {
             EngineState::InService => Standing::InService,
+            EngineState::Draining if out => Standing::Out,
             EngineState::Draining => Standing::Draining,
             EngineState::Gone => Standing::Gone,
         };
--- a/gateway/src/engine/pool.rs
+++ b/gateway/src/engine/pool.rs
@@ -59,6 +59,8 @@
 struct Line<C> {
     handle: C,
     peer: SocketAddr,
+    /// The stay in service that it was opened in; it serves no other.
+    gate: Gate,
     open: HashMap<AttemptKey, Bytes>,
     spent: VecDeque<(Instant, Bytes)>,
     heard: Arc<Heard>,
@@ -78,10 +80,16 @@
     next: u64,
     sockets: Arc<Sockets>,
     connections_most: usize,
+    share: f64,
     notes: Option<Duration>,
 }
 
 impl<C> Line<C> {
+    /// Is it a connection to this address, of this stay in service?
+    fn serves(&self, address: Option<SocketAddr>, gate: &Gate) -> bool {
+        address == Some(self.peer) && self.gate.same(gate)
+    }
+
     fn idle(&self, sockets: &Sockets, now: Instant) -> bool {
         let idle = now.saturating_duration_since(self.used);
         self.open.is_empty() && idle + CLOSE_EARLY >= sockets.keepalive
@@ -110,11 +118,22 @@
     }
 }
 
+/// Is there room for one more, in this share of the most? One may always be had.
+fn within(held: usize, most: usize, share: f64) -> bool {
+    held == 0 || (held as f64) < (most as f64 * share).floor()
+}
+
 impl<C: Handle> Pool<C> {
     /// A pool with no engines and at most so many connections to all of them; `notes` is the span between two
     /// notes of what runs, if there are any.
     pub fn new(sockets: Arc<Sockets>, connections_most: usize, notes: Option<Duration>) -> Self {
-        Self { engines: HashMap::new(), attempts: HashMap::new(), next: 0, sockets, connections_most, notes }
+        let (engines, attempts) = (HashMap::new(), HashMap::new());
+        Self { engines, attempts, next: 0, sockets, connections_most, share: 1.0, notes }
+    }
+
+    /// From now on this share of the connections may be held, to each engine and to all of them.
+    pub fn share(&mut self, share: f64) {
+        self.share = share;
     }
 
     /// Takes in where an engine listens, and its gate; `None` when it is gone.
@@ -125,11 +144,10 @@
         if let Some((_, gate)) = place {
             engine.gate = gate;
         }
-        if engine.address != address {
-            // What is out on the old connections may still be answered there; new attempts go elsewhere.
-            engine.address = address;
-            engine.lines.retain(|_, l| !l.open.is_empty());
-        }
+        engine.address = address;
+        // What is out on the old connections may still be answered there; new attempts go elsewhere.
+        let (gate, now) = (&engine.gate, Instant::now());
+        engine.lines.retain(|_, l| !l.open.is_empty() || l.serves(address, gate) && gate.open(now));
         if address.is_none() && engine.lines.is_empty() {
             self.engines.remove(&id);
         }
@@ -149,17 +167,22 @@
         // Connections with nothing out that are idle or silent are let go here: dropping the handle closes them.
         let kept = |l: &Line<C>| !l.handle.closed() && !l.idle(sockets, now) && !l.silent(notes, now);
         engine.lines.retain(|_, l| !l.open.is_empty() || kept(l));
-        let usable = engine.lines.iter_mut().filter(|l| l.1.peer == address);
+        let gate = &engine.gate;
+        let usable = engine.lines.iter_mut().filter(|l| l.1.serves(Some(address), gate));
         let fullest = usable
             .filter_map(|(n, l)| l.takes(&order.trace, sockets, notes, now).then_some((l.open.len(), *n)));
         let number = match fullest.max() {
             Some((_, number)) => number,
-            None if engine.lines.len() < CONNECTIONS_MOST && all < self.connections_most => {
+            None if within(engine.lines.len(), CONNECTIONS_MOST, self.share)
+                && within(all, self.connections_most, self.share) =>
+            {
                 let heard = Arc::new(Heard::new(now));
                 let handle = open(address, heard.clone(), &engine.gate);
                 let (open, spent) = (HashMap::new(), VecDeque::new());
                 self.next += 1;
-                engine.lines.insert(self.next, Line { handle, peer: address, open, spent, heard, used: now });
+                let gate = engine.gate.clone();
+                let line = Line { handle, peer: address, gate, open, spent, heard, used: now };
+                engine.lines.insert(self.next, line);
                 self.next
             }
             None => return None,
@@ -192,7 +215,7 @@
             } else {
                 line.used = Instant::now();
             }
-            if line.open.is_empty() && (line.handle.closed() || engine.address != Some(line.peer)) {
+            if line.open.is_empty() && (line.handle.closed() || !line.serves(engine.address, &engine.gate)) {
                 engine.lines.remove(&number);
             }
         }
--- a/gateway/src/engine/resp/connection.rs
+++ b/gateway/src/engine/resp/connection.rs
@@ -4,6 +4,7 @@
 use crate::broker::{AttemptKey, End, Input, News, Order, Rows};
 use crate::engine::pool::Heard;
 use crate::engine::{Gate, RESULT_MOST};
+use crate::figures::Figures;
 use bytes::{Buf, Bytes, BytesMut};
 use reedwalk_core::Outcome;
 use reedwalk_settings::Sockets;
@@ -39,9 +40,8 @@
     served: Option<Box<(Reply, BTreeMap<u32, Bytes>)>>,
 }
 
-/// A command in `out` that starts an attempt and has not begun to be written: where it stands, counted like
-/// `written`.
-struct Unbegun {
+/// A command in `out` that starts an attempt and is not wholly written: where it stands, counted like `written`.
+struct Unwritten {
     begins: u64,
     ends: u64,
     key: AttemptKey,
@@ -62,11 +62,12 @@
     heard: Arc<Heard>,
     sockets: Arc<Sockets>,
     queue: mpsc::Sender<Input>,
+    figures: Arc<Figures>,
     commands: mpsc::Receiver<Command>,
     by_id: HashMap<Bytes, Attempt>,
     ids: HashMap<AttemptKey, Bytes>,
     out: BytesMut,
-    unbegun: VecDeque<Unbegun>,
+    unwritten: VecDeque<Unwritten>,
     queued: u64,
     written: u64,
 }
@@ -77,6 +78,7 @@
         heard: Arc<Heard>,
         sockets: Arc<Sockets>,
         queue: mpsc::Sender<Input>,
+        figures: Arc<Figures>,
         commands: mpsc::Receiver<Command>,
     ) -> Self {
         Self {
@@ -85,11 +87,12 @@
             heard,
             sockets,
             queue,
+            figures,
             commands,
             by_id: HashMap::new(),
             ids: HashMap::new(),
             out: BytesMut::new(),
-            unbegun: VecDeque::new(),
+            unwritten: VecDeque::new(),
             queued: 0,
             written: 0,
         }
@@ -171,8 +174,9 @@
                         Ok(n) if n > 0 => {
                             self.out.advance(n);
                             self.written += n as u64;
-                            while self.unbegun.front().is_some_and(|o| o.begins < self.written) {
-                                self.unbegun.pop_front();
+                            while self.unwritten.front().is_some_and(|o| o.ends <= self.written) {
+                                self.unwritten.pop_front();
+                                self.figures.upstream();
                             }
                         }
                         Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
@@ -212,19 +216,20 @@
     /// Takes orders whose engine's gate has shut out of what is to be written, unless they have begun to be. They
     /// never ran. Whether there were any.
     async fn withdraw_shut(&mut self, now: Instant) -> bool {
-        if self.unbegun.iter().all(|o| o.gate.open(now)) {
+        let withdrawn = |o: &Unwritten, written| o.begins >= written && !o.gate.open(now);
+        if !self.unwritten.iter().any(|o| withdrawn(o, self.written)) {
             return false;
         }
         let (mut kept, mut from, mut less) = (BytesMut::new(), self.written, 0);
-        for mut order in std::mem::take(&mut self.unbegun) {
+        for mut order in std::mem::take(&mut self.unwritten) {
             let id = self.ids.get(&order.key).cloned();
-            if order.gate.open(now) {
+            if !withdrawn(&order, self.written) {
                 order.begins -= less;
                 order.ends -= less;
                 if let Some(attempt) = id.and_then(|id| self.by_id.get_mut(&id)) {
                     attempt.whole_at = order.ends;
                 }
-                self.unbegun.push_back(order);
+                self.unwritten.push_back(order);
                 continue;
             }
             kept.extend_from_slice(
@@ -256,7 +261,7 @@
                 let lane = self.sockets.classes.get(order.class.0).map_or("", String::as_str);
                 wire::put_order(&mut self.out, &order, lane, Instant::now());
                 self.queued += (self.out.len() - before) as u64;
-                self.unbegun.push_back(Unbegun { begins, ends: self.queued, key: order.key, gate });
+                self.unwritten.push_back(Unwritten { begins, ends: self.queued, key: order.key, gate });
                 self.ids.insert(order.key, order.trace.clone());
                 let attempt = Attempt { key: order.key, whole_at: self.queued, served: None };
                 self.by_id.insert(order.trace, attempt);
--- a/gateway/src/engine/resp/mod.rs
+++ b/gateway/src/engine/resp/mod.rs
@@ -7,6 +7,7 @@
 use super::pool::{Handle, Pool};
 use crate::broker::{AttemptKey, EngineLinks, Input, Order};
 use crate::cores::Cores;
+use crate::figures::Figures;
 use connection::{Command, Task};
 use reedwalk_core::EngineId;
 use reedwalk_settings::Sockets;
@@ -30,6 +31,7 @@
     pool: Pool<mpsc::Sender<Command>>,
     sockets: Arc<Sockets>,
     queue: mpsc::Sender<Input>,
+    figures: Arc<Figures>,
     cores: Cores,
 }
 
@@ -41,9 +43,10 @@
         connections_most: usize,
         notes: Option<Duration>,
         queue: mpsc::Sender<Input>,
+        figures: Arc<Figures>,
         cores: Cores,
     ) -> Self {
-        Self { pool: Pool::new(sockets.clone(), connections_most, notes), sockets, queue, cores }
+        Self { pool: Pool::new(sockets.clone(), connections_most, notes), sockets, queue, figures, cores }
     }
 
     fn command(&mut self, key: AttemptKey, command: Command) {
@@ -60,10 +63,10 @@
     }
 
     fn start(&mut self, order: Order, now: Instant) -> bool {
-        let (sockets, queue, cores) = (&self.sockets, &self.queue, &self.cores);
+        let (sockets, queue, figures, cores) = (&self.sockets, &self.queue, &self.figures, &self.cores);
         let picked = self.pool.pick(&order, now, |address, heard, _| {
             let (commands, orders) = mpsc::channel(COMMANDS);
-            let task = Task::new(address, heard, sockets.clone(), queue.clone(), orders);
+            let task = Task::new(address, heard, sockets.clone(), queue.clone(), figures.clone(), orders);
             cores.seat().spawn(task.run(now + sockets.connect_within));
             commands
         });
@@ -88,4 +91,8 @@
     fn over(&mut self, key: AttemptKey) {
         self.pool.release(key, false);
     }
+
+    fn share(&mut self, share: f64) {
+        self.pool.share(share);
+    }
 }
--- /dev/null
+++ b/gateway/src/figures.rs
@@ -0,0 +1,169 @@
+//! What the front end reports of itself: atomics, written where a thing is known and read without waiting for
+//! anybody. Counts start at 0 with the process.
+
+use crate::broker::Answer;
+use reedwalk_core::ClassId;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// With the whole result.
+    Completed,
+    /// Refused; a further try is harmless.
+    Rejected,
+    /// Failed.
+    Failed,
+    /// Its client had left; it stands under no count.
+    Left,
+}
+
+impl From<&Answer> for Ending {
+    fn from(answer: &Answer) -> Self {
+        match answer {
+            Answer::Served(_) => Self::Completed,
+            Answer::Refused { .. } => Self::Rejected,
+            Answer::Failed(_) => Self::Failed,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Class {
+    name: String,
+    completed: AtomicU64,
+    rejected: AtomicU64,
+    failed: AtomicU64,
+}
+
+/// All figures.
+#[derive(Debug, Default)]
+pub struct Figures {
+    classes: Vec<Class>,
+    taken: AtomicU64,
+    ended: AtomicU64,
+    upstream: AtomicU64,
+    members: AtomicU64,
+    unavailable: AtomicU64,
+}
+
+/// A request that was taken. Its end is counted once; dropped without one, its client has left.
+#[derive(Debug)]
+#[must_use = "dropped, it counts as a client that has left"]
+pub struct Taken {
+    figures: Arc<Figures>,
+    class: ClassId,
+    over: bool,
+}
+
+impl Taken {
+    /// Counts how it ended. Only the first end counts.
+    pub fn end(&mut self, ending: Ending) {
+        if std::mem::replace(&mut self.over, true) {
+            return;
+        }
+        if let Some(class) = self.figures.classes.get(self.class.0) {
+            match ending {
+                Ending::Completed => class.completed.fetch_add(1, Ordering::Relaxed),
+                Ending::Rejected => class.rejected.fetch_add(1, Ordering::Relaxed),
+                Ending::Failed => class.failed.fetch_add(1, Ordering::Relaxed),
+                Ending::Left => 0,
+            };
+        }
+        self.figures.ended.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.end(Ending::Left);
+    }
+}
+
+impl Figures {
+    /// All at 0, for these classes.
+    pub fn new(classes: &[String]) -> Self {
+        let class = |name: &String| Class { name: name.clone(), ..Class::default() };
+        Self { classes: classes.iter().map(class).collect(), ..Self::default() }
+    }
+
+    /// A request was taken.
+    pub fn take(self: &Arc<Self>, class: ClassId) -> Taken {
+        self.taken.fetch_add(1, Ordering::Relaxed);
+        Taken { figures: self.clone(), class, over: false }
+    }
+
+    /// The last byte of an attempt was written.
+    pub fn upstream(&self) {
+        self.upstream.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Engines on the list.
+    pub fn set_members(&self, members: usize) {
+        self.members.store(members as u64, Ordering::Relaxed);
+    }
+
+    /// Engines on the list that nothing is sent to now.
+    pub fn set_unavailable(&self, unavailable: usize) {
+        self.unavailable.store(unavailable as u64, Ordering::Relaxed);
+    }
+
+    /// Requests taken but not yet ended.
+    pub fn pending(&self) -> u64 {
+        // The ended first: what ends in between would make it too low, down to below nothing.
+        let ended = self.ended.load(Ordering::Acquire);
+        self.taken.load(Ordering::Acquire).saturating_sub(ended)
+    }
+
+    /// A line for each figure: `svc.NAME:VALUE|c` for counts, `|g` for what stands now.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let read = |value: &AtomicU64| value.load(Ordering::Relaxed);
+        for class in &self.classes {
+            for (what, value) in
+                [("completed", &class.completed), ("rejected", &class.rejected), ("failed", &class.failed)]
+            {
+                let _ = writeln!(text, "svc.{what}.{}:{}|c", class.name, read(value));
+            }
+        }
+        let _ = writeln!(text, "svc.upstream_requests:{}|c", read(&self.upstream));
+        let stands = [
+            ("pending", self.pending()),
+            ("members", read(&self.members)),
+            ("members_unavailable", read(&self.unavailable)),
+        ];
+        for (what, value) in stands {
+            let _ = writeln!(text, "svc.{what}:{value}|g");
+        }
+        text
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_end_is_counted_once_and_nothing_stays_pending() {
+        let figures = Arc::new(Figures::new(&["lookup".to_owned(), "batch-post".to_owned()]));
+        let mut taken: Vec<_> = (0..6).map(|n| figures.take(ClassId(n % 2))).collect();
+        assert_eq!(figures.pending(), 6);
+        taken[0].end(Ending::Completed);
+        taken[0].end(Ending::Failed);
+        taken[1].end(Ending::Rejected);
+        taken[2].end(Ending::Failed);
+        taken[3].end(Ending::Completed);
+        assert_eq!(figures.pending(), 2);
+        drop(taken);
+        assert_eq!(figures.pending(), 0);
+        figures.upstream();
+        figures.set_members(7);
+        figures.set_unavailable(2);
+        let lines = "svc.completed.lookup:1|c\nsvc.rejected.lookup:0|c\nsvc.failed.lookup:1|c\n\
+            svc.completed.batch-post:1|c\nsvc.rejected.batch-post:1|c\nsvc.failed.batch-post:0|c\n\
+            svc.upstream_requests:1|c\nsvc.pending:0|g\nsvc.members:7|g\nsvc.members_unavailable:2|g\n";
+        assert_eq!(figures.text(), lines);
+    }
+}
--- a/gateway/src/front/flight/service.rs
+++ b/gateway/src/front/flight/service.rs
@@ -3,6 +3,7 @@
 use super::result;
 use super::ticket::{Statement, Tickets};
 use crate::broker::{Answer, Ask, Desk, Refusal, Rows};
+use crate::figures::Ending;
 use crate::flight_meta as meta;
 use crate::front::mysql::statement::group;
 use crate::front::{MEMORY_MOST, WORK_MOST};
@@ -144,8 +145,12 @@
             return Err(Status::unimplemented("transactions"));
         }
         let statement = Statement { header: self.header(request.metadata())?, text: query.query };
+        let class = statement.header.class;
         let handle = self.tickets.keep(statement, Instant::now());
-        let handle = handle.ok_or_else(|| result::refused(Refusal::Shed, Some(TICKET_RETRY)))?;
+        let handle = handle.ok_or_else(|| {
+            self.desk.turned_away(class, Ending::Rejected);
+            result::refused(Refusal::Shed, Some(TICKET_RETRY))
+        })?;
         let ticket = TicketStatementQuery { statement_handle: Bytes::copy_from_slice(&handle) };
         let ticket = Ticket::new(ticket.as_any().encode_to_vec());
         let endpoint = FlightEndpoint::new().with_ticket(ticket);
--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -12,6 +12,7 @@
 use crate::shutdown::{Phase, closing};
 use packet::Writer;
 use places::{Counts, Places};
+use reedwalk_membership::Part;
 use reedwalk_settings::Deployment;
 use slog::{Logger, info, warn};
 use std::collections::HashMap;
@@ -48,6 +49,7 @@
     deployment: Arc<Deployment>,
     contracts: Option<Arc<Contracts>>,
     places: Arc<Places>,
+    sessions: usize,
     running: Running,
     seed: u64,
     cores: Cores,
@@ -68,20 +70,29 @@
         let sessions = (limits.sockets as f64 * SESSIONS_SHARE) as usize;
         let bytes = (limits.memory_mb * STATEMENTS_SHARE * f64::from(1 << 20)) as usize;
         let places = Arc::new(Places::new(sessions, bytes));
-        Self { desk, deployment, contracts, places, running: Running::default(), seed, cores, log }
+        let running = Running::default();
+        Self { desk, deployment, contracts, places, sessions, running, seed, cores, log }
     }
 
-    /// Accepts sessions until the phase tells it to close. `alive` is held by each until it has ended.
+    /// Accepts sessions until the phase tells it to close, as many as this process's part allows. `alive` is held by
+    /// each until it has ended.
     pub async fn serve(
         self: Arc<Self>,
         listener: TcpListener,
         mut phase: watch::Receiver<Phase>,
+        mut part: watch::Receiver<Part>,
         alive: mpsc::Sender<()>,
     ) {
         let mut next = 0u32;
         let mut told = (Instant::now(), Counts::default());
+        part.mark_changed();
         loop {
             let stream = tokio::select! {
+                Ok(()) = part.changed() => {
+                    let share = part.borrow_and_update().share;
+                    self.places.resize((self.sessions as f64 * share) as usize);
+                    continue;
+                }
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => stream,
                     Err(error) => {
--- a/gateway/src/front/mysql/places.rs
+++ b/gateway/src/front/mysql/places.rs
@@ -37,6 +37,7 @@
     strangers: BTreeSet<(Instant, u32)>,
     idle: BTreeSet<(Instant, u32)>,
     bytes: usize,
+    most: usize,
     counts: Counts,
 }
 
@@ -52,7 +53,6 @@
 /// All places.
 #[derive(Debug)]
 pub struct Places {
-    most: usize,
     bytes_most: usize,
     table: Mutex<Table>,
 }
@@ -111,7 +111,7 @@
 impl Places {
     /// So many places, and so many bytes of large statements in all of them together.
     pub fn new(most: usize, bytes_most: usize) -> Self {
-        Self { most, bytes_most, table: Mutex::default() }
+        Self { bytes_most, table: Mutex::new(Table { most, ..Table::default() }) }
     }
 
     fn table(&self) -> MutexGuard<'_, Table> {
@@ -121,9 +121,9 @@
     /// A place for a newcomer, if need be that of another; none where all others are busy.
     pub fn enter(self: &Arc<Self>, id: u32, now: Instant) -> Option<Place> {
         let mut table = self.table();
-        let crowded = table.strangers.len() as f64 >= self.most as f64 * STRANGERS_SHARE;
-        let free = table.held.len() < self.most && !crowded;
-        if !free && (table.held.len() >= self.most + OVERLAP_MOST || !table.make_room(crowded)) {
+        let crowded = table.strangers.len() as f64 >= table.most as f64 * STRANGERS_SHARE;
+        let free = table.held.len() < table.most && !crowded;
+        if !free && (table.held.len() >= table.most + OVERLAP_MOST || !table.make_room(crowded)) {
             table.counts.refused += 1;
             return None;
         }
@@ -133,6 +133,17 @@
         Some(Place { places: self.clone(), id, leave })
     }
 
+    /// So many places from now on: who has been silent longest makes room where that is fewer, and requests never.
+    pub fn resize(&self, most: usize) {
+        let mut table = self.table();
+        table.most = most;
+        // Those told before are still held, and in neither line.
+        let told = |t: &Table| {
+            t.held.values().filter(|h| h.stage != Stage::Busy).count() - t.strangers.len() - t.idle.len()
+        };
+        while table.held.len() > most + told(&table) && table.make_room(true) {}
+    }
+
     /// Counts of what has become of those who came.
     pub fn counts(&self) -> Counts {
         self.table().counts
--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -5,6 +5,7 @@
 use super::places::{Place, Room, Stage};
 use super::statement::{self, BadFields};
 use crate::broker::{Answer, Ask, Failure, Refusal, Ticket};
+use crate::figures::Ending;
 use crate::shutdown::{Phase, closing};
 use bytes::{Bytes, BytesMut};
 use reedwalk_core::{ClassId, Effect};
@@ -197,8 +198,11 @@
             tokio::select! {
                 biased;
                 answer = ticket.answer() => return answer.map(Some).ok_or(Closed::ByUs),
-                kill = &mut killed => if kill.is_ok() { return Ok(None) },
-                () = sleep_until(by), if apart => return Ok(Some(Answer::Failed(Failure::Deadline))),
+                kill = &mut killed => if kill.is_ok() {
+                    ticket.fail(Failure::Engine);
+                    return Ok(None);
+                },
+                () = sleep_until(by), if apart => return Ok(Some(ticket.fail(Failure::Deadline))),
                 read = self.stream.read_buf(&mut self.input), if room => {
                     if !matches!(read, Ok(n) if n > 0) {
                         return Err(Closed::ByClient);
@@ -218,6 +222,7 @@
         let keyed = matches!(self.front.deployment.core.classes[class].effect, Effect::Keyed { .. });
         if keyed && fields.nonce.is_none() {
             // Without its key a repeat would have a second effect.
+            self.front.desk.turned_away(ClassId(class), Ending::Failed);
             return Err(BadFields::Absent("nonce"));
         }
         let patience = Duration::from_millis(fields.patience_ms);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,13 +4,17 @@
 pub mod broker;
 pub mod cli;
 pub mod config;
+pub mod console;
 pub mod contracts;
 pub mod cores;
 pub mod engine;
+pub mod figures;
 pub mod flight_meta;
 pub mod front;
+pub mod members;
 pub mod names;
 pub mod operator;
 pub mod serve;
 pub mod shutdown;
 pub mod store;
+pub mod succession;
--- a/gateway/src/names/list.rs
+++ b/gateway/src/names/list.rs
@@ -93,6 +93,16 @@
         id
     }
 
+    /// The number of the engine of this name, if it was ever listed and is still remembered.
+    pub fn find(&self, name: &str) -> Option<EngineId> {
+        self.ids.get(name).copied()
+    }
+
+    /// All engines as last told.
+    pub fn listed(&self) -> impl Iterator<Item = &Listed> {
+        self.listed.values()
+    }
+
     /// Ids remembered, listed or not.
     pub fn remembered(&self) -> usize {
         self.ids.len()
--- a/gateway/src/names/mod.rs
+++ b/gateway/src/names/mod.rs
@@ -3,15 +3,13 @@
 pub mod dns;
 pub mod list;
 
-use crate::broker::{Input, Listed};
-use crate::engine::{Gate, Gates};
-use list::Book;
+use crate::members::Members;
 use slog::{Logger, debug, info, warn};
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
 /// How often the name server is asked: news counts as told 1.5 s after it happened, asked for or not, so it had
@@ -44,9 +42,7 @@
 
 /// The list, and how it is kept up.
 struct Watch {
-    book: Book,
-    gates: Gates,
-    queue: mpsc::Sender<Input>,
+    members: Members,
     /// Where the numbers of queries come from: they can't be told from those before.
     numbers: u64,
     /// Numbers of the latest queries, the last one first.
@@ -57,25 +53,15 @@
     log: Logger,
 }
 
-/// Asks the name server again and again and tells the broker what has changed. Where the source changes, the
+/// Asks the name server again and again and hands what it tells to the list's owner. Where the source changes, the
 /// next server is asked at once; the list and its serial go on.
-pub async fn watch(
-    mut sources: watch::Receiver<Source>,
-    book: Book,
-    gates: Gates,
-    queue: mpsc::Sender<Input>,
-    seed: u64,
-    log: Logger,
-) {
+pub async fn watch(mut sources: watch::Receiver<Source>, members: Members, seed: u64, log: Logger) {
     let (asked, heard) = (VecDeque::new(), Instant::now());
-    let mut watch =
-        Watch { book, gates, queue, numbers: seed, asked, large: false, silent: false, heard, log };
+    let mut watch = Watch { members, numbers: seed, asked, large: false, silent: false, heard, log };
     loop {
         let source = sources.borrow_and_update().clone();
-        if let Some(changes) = source.known.as_ref().and_then(|k| watch.book.refresh(k).ok())
-            && watch.tell(changes).await.is_err()
-        {
-            return;
+        if let Some(Err(error)) = source.known.as_ref().map(|k| watch.members.refresh(k)) {
+            warn!(watch.log, "known list of the new configuration not used"; "error" => %error);
         }
         let over = match source.server {
             Some(server) => watch.ask(server, &mut sources).await,
@@ -116,9 +102,7 @@
                         }
                     }
                     received = socket.recv(&mut buffer) => match received {
-                        Ok(size) => if self.take(&buffer[..size]).await.is_err() {
-                            return Over::Ended;
-                        },
+                        Ok(size) => self.take(&buffer[..size]),
                         Err(_) => break,
                     }
                 }
@@ -139,52 +123,27 @@
         self.asked.push_front(id);
         if !self.silent && self.heard.elapsed() > SILENT_AFTER {
             self.silent = true;
-            warn!(self.log, "name server silent"; "serial" => ?self.book.serial());
+            warn!(self.log, "name server silent"; "serial" => ?self.members.serial());
         }
         dns::query(id, self.large).unwrap_or_default()
     }
 
-    /// Takes in a datagram; an error if the broker has ended.
-    async fn take(&mut self, bytes: &[u8]) -> Result<(), Closed> {
+    /// Takes in a datagram.
+    fn take(&mut self, bytes: &[u8]) {
         match dns::read(bytes, self.asked.make_contiguous()) {
             Ok(answer) => {
                 self.heard = Instant::now();
                 if std::mem::take(&mut self.silent) {
                     info!(self.log, "name server back"; "serial" => answer.serial);
                 }
-                let changes = self.book.take(answer);
-                return self.tell(changes).await;
+                self.members.take(answer);
             }
             Err(dns::BadAnswer::Truncated) if !self.large => self.large = true,
             Err(error) => debug!(self.log, "name server"; "answer" => %error),
         }
-        Ok(())
-    }
-
-    async fn tell(&mut self, changes: Vec<Listed>) -> Result<(), Closed> {
-        if changes.is_empty() {
-            return Ok(());
-        }
-        info!(self.log, "engines"; "serial" => ?self.book.serial(), "changed" => ?changes);
-        // Gates close here and now; the broker may hear of it later.
-        let changes = with_gates(&mut self.gates, changes);
-        self.queue.send(Input::Engines(changes)).await.map_err(|_| Closed)
     }
 }
 
-/// Changes of the list, each with its gate.
-pub fn with_gates(gates: &mut Gates, changes: Vec<Listed>) -> Vec<(Listed, Gate)> {
-    let now = Instant::now();
-    let with_gate = |listed: Listed| {
-        let gate = gates.take(&listed.entry, now);
-        (listed, gate)
-    };
-    changes.into_iter().map(with_gate).collect()
-}
-
-/// The broker has ended.
-struct Closed;
-
 async fn open(server: SocketAddr) -> std::io::Result<UdpSocket> {
     let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0)).await?;
     socket.connect(server).await?;
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -1,18 +1,24 @@
 //! Puts the parts together and runs them.
 
-use crate::broker::{Broker, Desk, EngineLinks, Input, QUEUE};
+use crate::broker::{Broker, Desk, EngineLinks, QUEUE, Roll, Shared};
 use crate::config::{Config, ConfigError, Limits};
+use crate::console::{Console, Health};
 use crate::contracts::{BadContract, Contracts};
 use crate::cores::Cores;
 use crate::engine::{Gates, flight, resp};
+use crate::figures::Figures;
 use crate::front;
 use crate::front::flight::Service;
 use crate::front::mysql::Front;
+use crate::members::Members;
+use crate::members::keep::Keep;
 use crate::names::{self, Source, list::Book};
 use crate::operator::{EngineWire, Fault, Operator, Store};
 use crate::shutdown::{Asked, OVERLAP, Phase, Signals};
 use crate::store::{Redis, StoreError};
+use crate::succession::{MAKES_ROOM, Succession};
 use reedwalk_core::Gateway;
+use reedwalk_membership::{Part, Stage};
 use reedwalk_settings::Deployment;
 use slog::{Logger, error, info, o, warn};
 use std::fmt;
@@ -20,7 +26,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -69,11 +75,16 @@
 pub struct Running {
     /// Where MySQL clients connect.
     pub mysql: SocketAddr,
+    /// Where operators connect, if the console is on.
+    pub console: Option<SocketAddr>,
     /// Where Flight SQL clients connect, if that front is on.
     pub flight: Option<SocketAddr>,
     /// Longest that anything taken may still wait for its answer.
     longest: Duration,
     phase: watch::Sender<Phase>,
+    health: Health,
+    stage: watch::Sender<Stage>,
+    part: watch::Receiver<Part>,
     reloads: Reloads,
     ended: mpsc::Receiver<()>,
     cores: Cores,
@@ -94,7 +105,7 @@
 pub struct Reloads {
     source: watch::Sender<Source>,
     /// What only a restart can change.
-    fixed: Arc<(SocketAddr, Limits, Arc<Deployment>)>,
+    fixed: Arc<(SocketAddr, Option<SocketAddr>, Limits, Arc<Deployment>)>,
     log: Logger,
 }
 
@@ -102,9 +113,10 @@
     /// Takes what may change out of a configuration that has been checked whole: where the names are asked for.
     /// The list and its serial go on, as do all requests and sessions. What a restart alone can change is said.
     pub fn take(&self, config: Config) {
-        let (listen, limits, deployment) = &*self.fixed;
+        let (listen, console, limits, deployment) = &*self.fixed;
         let differs = [
             (config.listen != *listen, "listen"),
+            (config.console != *console, "console"),
             (config.limits != *limits, "limits"),
             (config.deployment != **deployment, "settings"),
         ];
@@ -133,7 +145,7 @@
 pub async fn start(config: Config, operator: Operator, log: &Logger) -> Result<Running, ServeError> {
     operator.check(&config.limits).map_err(ServeError::Operator)?;
     let (source, sources) = watch::channel(Source { server: config.names, known: None });
-    let fixed = Arc::new((config.listen, config.limits, Arc::new(config.deployment.clone())));
+    let fixed = Arc::new((config.listen, config.console, config.limits, Arc::new(config.deployment.clone())));
     let reloads = Reloads { source, fixed, log: log.new(o!("part" => "reload")) };
     let mut deployment = config.deployment;
     if operator.engines == EngineWire::FlightSql {
@@ -145,26 +157,62 @@
     let gateway = Gateway::new(deployment.core.clone(), config.seed).map_err(ServeError::Settings)?;
     let (queue, inputs) = mpsc::channel(QUEUE);
     let cores = Cores::start(operator.cores).map_err(|e| ServeError::Io("cores", e))?;
-    let mut gates = Gates::new(deployment.core.rules.drain_grace);
-    let mut book = Book::new(sockets.clone());
+    // Only a front end that operators can reach has a second process beside it, or words to keep.
+    let kept = config.console.map(|_| (std::env::temp_dir(), stem(&config.name, config.listen)));
+    let succession_log = log.new(o!("part" => "succession"));
+    let succession = kept.as_ref().map(|(folder, stem)| Succession::enter(folder, stem, succession_log));
+    let (alone, only) = watch::channel(Part::default());
+    let part = succession.as_ref().map_or(only, Succession::part);
+    let second = succession.as_ref().is_some_and(Succession::is_second);
+    let (stage, stages) = watch::channel(Stage::Starting);
+    if let Some(succession) = succession {
+        tokio::spawn(succession.watch(stages));
+    }
+    let figures = Arc::new(Figures::new(&sockets.classes));
+    let shared = Shared { roll: Roll::default(), figures: figures.clone(), part: part.clone() };
+    let keep = kept.as_ref().map(|(folder, stem)| Keep::new(folder, stem));
+    let members_log = log.new(o!("part" => "members"));
+    let gates = Gates::new(deployment.core.rules.drain_grace);
+    let book = Book::new(sockets.clone());
+    let members = Members::new(book, gates, shared.roll.clone(), figures.clone(), keep, members_log);
     if let Some(known) = &config.known {
-        let changes = book.start(known).map_err(ServeError::Known)?;
-        info!(log, "start"; "name" => &config.name, "engines" => changes.len(), "serial" => ?book.serial());
-        let _ = queue.send(Input::Engines(names::with_gates(&mut gates, changes))).await;
+        let engines = members.start(known).map_err(ServeError::Known)?;
+        info!(log, "start"; "name" => &config.name, "engines" => engines, "serial" => ?members.serial());
     }
+    tokio::spawn(members.clone().watch());
+    let health = Health::default();
+    let console = match config.console {
+        Some(address) => {
+            let (listener, address) = listen(address, false)?;
+            let log = log.new(o!("part" => "console"));
+            let console = Console::new(health.clone(), figures.clone(), members.clone(), log);
+            tokio::spawn(Arc::new(console).serve(listener));
+            Some(address)
+        }
+        None => None,
+    };
     let connections = (config.limits.sockets as f64 * ENGINES_SHARE) as usize;
     let links: Box<dyn EngineLinks> = match operator.engines {
         EngineWire::Resp => {
             let notes = deployment.core.engine.notes_every;
-            Box::new(resp::Links::new(sockets.clone(), connections, notes, queue.clone(), cores.clone()))
+            Box::new(resp::Links::new(
+                sockets.clone(),
+                connections,
+                notes,
+                queue.clone(),
+                figures.clone(),
+                cores.clone(),
+            ))
         }
         EngineWire::FlightSql => {
-            Box::new(flight::Links::new(sockets.clone(), connections, queue.clone(), cores.clone()))
+            let (queue, figures) = (queue.clone(), figures.clone());
+            Box::new(flight::Links::new(sockets.clone(), connections, queue, figures, cores.clone()))
         }
     };
     let broker_log = log.new(o!("part" => "broker"));
     let contracts = contracts(&operator, &deployment, log)?.map(Arc::new);
-    let broker = Broker::new(gateway, links, &deployment, contracts.clone(), queue.clone(), broker_log);
+    let broker =
+        Broker::new(gateway, links, &deployment, contracts.clone(), shared, queue.clone(), broker_log);
     let judge = cores.judge(broker.run(inputs));
     let (judging, unjudged) = watch::channel(false);
     let judge_log = log.clone();
@@ -176,21 +224,19 @@
     });
     let (lost, losses) = mpsc::channel(1);
     tokio::spawn(cores.clone().watch(lost, log.new(o!("part" => "cores"))));
-    tokio::spawn(names::watch(
-        sources,
-        book,
-        gates,
-        queue.clone(),
-        config.seed,
-        log.new(o!("part" => "names")),
-    ));
-    let desk = Desk::new(queue);
+    tokio::spawn(names::watch(sources, members, config.seed, log.new(o!("part" => "names"))));
+    let desk = Desk::new(queue, figures);
     let (phase, phases) = watch::channel(Phase::Open);
     let (alive, ended) = mpsc::channel(1);
-    let (listener, mysql) = listen(config.listen).await?;
+    if second {
+        // The other halves its connections first.
+        sleep_until(Instant::now() + MAKES_ROOM).await;
+    }
+    let shares = config.console.is_some();
+    let (listener, mysql) = listen(config.listen, shares)?;
     let flight = match operator.flight {
         Some(front) => {
-            let (listener, address) = listen(front.listen).await?;
+            let (listener, address) = listen(front.listen, shares)?;
             let service = Service::new(desk.clone(), deployment.clone(), config.seed);
             let log = log.new(o!("part" => "flight"));
             let (phases, alive) = (phases.clone(), alive.clone());
@@ -208,9 +254,26 @@
         cores.clone(),
         log.clone(),
     );
-    tokio::spawn(Arc::new(front).serve(listener, phases, alive));
+    tokio::spawn(Arc::new(front).serve(listener, phases, part.clone(), alive));
+    health.set(true);
+    stage.send_replace(Stage::Serving);
+    drop(alone);
     let longest = deployment.core.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-    Ok(Running { mysql, flight, longest, phase, reloads, ended, cores, unjudged, losses })
+    Ok(Running {
+        mysql,
+        console,
+        flight,
+        longest,
+        phase,
+        health,
+        stage,
+        part,
+        reloads,
+        ended,
+        cores,
+        unjudged,
+        losses,
+    })
 }
 
 /// The contracts of an operator's file; none, and nothing is checked.
@@ -234,8 +297,27 @@
         .map_err(ServeError::Contract)
 }
 
-async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), ServeError> {
-    let listener = TcpListener::bind(address).await.map_err(|e| ServeError::Io("listen", e))?;
+/// What the files of this front end are called, the same for each of its processes and no other's.
+fn stem(name: &str, listen: SocketAddr) -> String {
+    let name: String = name.chars().filter(char::is_ascii_alphanumeric).take(40).collect();
+    format!("reedwalk-{name}-{}-{}", listen.ip(), listen.port()).replace(':', "_")
+}
+
+/// Connections that wait to be accepted at most.
+const BACKLOG: u32 = 1024;
+
+/// Listens; where another process of this front end may come, its address is shared with that one.
+fn listen(address: SocketAddr, shared: bool) -> Result<(TcpListener, SocketAddr), ServeError> {
+    let open = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        if shared {
+            socket.set_reuseport(true)?;
+        }
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    let listener = open().map_err(|e| ServeError::Io("listen", e))?;
     let address = listener.local_addr().map_err(|e| ServeError::Io("listen", e))?;
     Ok((listener, address))
 }
@@ -264,9 +346,16 @@
         self.reloads.clone()
     }
 
+    /// Does another process of this front end take clients at the same address?
+    pub fn relieved(&self) -> bool {
+        self.part.borrow().relieved
+    }
+
     /// Closes the fronts to what is new and waits until all that was taken is answered, counted from `since`.
     pub async fn close(mut self, since: Instant) {
         self.phase.send_replace(Phase::Closing);
+        self.health.set(false);
+        self.stage.send_replace(Stage::Closing);
         // Each session holds a sender: when all are gone, all that was taken has been answered.
         let _ = timeout_at(since + self.longest + LAST, self.ended.recv()).await;
     }
@@ -300,9 +389,12 @@
         }
     }
     let came = Instant::now();
-    info!(log, "closing");
+    let relieved = running.relieved();
+    info!(log, "closing"; "another serves" => relieved);
     let ending = async {
-        sleep_until(came + OVERLAP).await;
+        if !relieved {
+            sleep_until(came + OVERLAP).await;
+        }
         running.close(came).await;
     };
     tokio::pin!(ending);
--- a/gateway/tests/broker.rs
+++ b/gateway/tests/broker.rs
@@ -7,9 +7,11 @@
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use reedwalk_core::{ClassId, EngineEntry, EngineId, Gateway, Outcome};
 use reedwalk_gateway::broker::{
-    Answer, Ask, AttemptKey, Broker, Desk, End, EngineLinks, Input, Listed, News, Order, QUEUE, Refusal, Rows,
+    Answer, Ask, AttemptKey, Broker, Desk, End, EngineLinks, Input, Listed, News, Order, QUEUE, Refusal,
+    Roll, Rows, Shared,
 };
 use reedwalk_gateway::engine::Gate;
+use reedwalk_gateway::figures::Figures;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -62,6 +64,7 @@
     fn stop(&mut self, _: AttemptKey) {}
     fn boost(&mut self, _: AttemptKey, _: u8) {}
     fn over(&mut self, _: AttemptKey) {}
+    fn share(&mut self, _: f64) {}
 }
 
 fn ask(n: usize, class: usize, deadline: Instant) -> Ask {
@@ -87,12 +90,16 @@
     let engines = Engines { deeds, orders: orders.clone(), queue: queue.clone() };
     let gateway = Gateway::new(deployment.core.clone(), 7).unwrap();
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    tokio::spawn(Broker::new(gateway, engines, &deployment, None, queue.clone(), log).run(inputs));
+    let figures = Arc::new(Figures::new(&deployment.sockets.classes));
+    let (_alone, part) = tokio::sync::watch::channel(Default::default());
+    let shared = Shared { roll: Roll::default(), figures: figures.clone(), part };
+    let (roll, broker) = (shared.roll.clone(), queue.clone());
+    tokio::spawn(Broker::new(gateway, engines, &deployment, None, shared, broker, log).run(inputs));
     let listed =
         (1..=3).map(|n| Listed { entry: EngineEntry::new(EngineId(n)), address: ([127, 0, 0, 1], 1).into() });
     let listed = listed.map(|l| (l, Gate::default()));
-    queue.send(Input::Engines(listed.collect())).await.unwrap();
-    let (desk, start) = (Desk::new(queue), Instant::now());
+    roll.write(listed);
+    let (desk, start) = (Desk::new(queue, figures.clone()), Instant::now());
     let waits = requests.into_iter().enumerate().map(|(n, (class, at, patience))| {
         let desk = desk.clone();
         tokio::spawn(async move {
@@ -108,6 +115,7 @@
     for wait in waits.collect::<Vec<_>>() {
         wait.await.unwrap();
     }
+    assert_eq!(figures.pending(), 0);
     let orders = orders.lock().unwrap();
     for (at, (order, _)) in orders.iter().enumerate() {
         let earlier = || orders[..at].iter().filter(|o| o.0.trace == order.trace);
@@ -139,7 +147,7 @@
 #[tokio::test]
 async fn a_full_queue_refuses_at_once_and_says_when_to_come_back() {
     let (queue, _inputs) = mpsc::channel(1);
-    let desk = Desk::new(queue);
+    let desk = Desk::new(queue, Arc::default());
     let _first = desk.ask(ask(1, 0, Instant::now())).unwrap();
     let refused = desk.ask(ask(2, 0, Instant::now())).unwrap_err();
     assert!(matches!(refused, Answer::Refused { why: Refusal::Shed, retry_after: Some(_) }));
--- a/gateway/tests/names.rs
+++ b/gateway/tests/names.rs
@@ -4,8 +4,10 @@
 
 use hickory_proto::op::ResponseCode;
 use reedwalk_core::{EngineState, Time};
-use reedwalk_gateway::broker::Listed;
+use reedwalk_gateway::broker::{Listed, Roll};
 use reedwalk_gateway::engine::Gates;
+use reedwalk_gateway::figures::Figures;
+use reedwalk_gateway::members::Members;
 use reedwalk_gateway::names::dns::{BadAnswer, query, read};
 use reedwalk_gateway::names::list::Book;
 use reedwalk_gateway::names::{Source, watch};
@@ -140,11 +142,13 @@
 async fn an_answer_that_comes_after_the_next_query_still_counts() {
     // Asked every 250 ms, it answers each query 600 ms late.
     let server = late_server(vec![engine("s-0", 1)], std::time::Duration::from_millis(600)).await;
-    let (queue, mut inputs) = tokio::sync::mpsc::channel(8);
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let (_source, sources) = tokio::sync::watch::channel(Source { server: Some(server), known: None });
-    tokio::spawn(watch(sources, book(), Gates::new(std::time::Duration::from_secs(2)), queue, 7, log));
+    let (roll, figures) = (Roll::default(), Arc::new(Figures::default()));
+    let gates = Gates::new(std::time::Duration::from_secs(2));
+    let members = Members::new(book(), gates, roll.clone(), figures, None, log.clone());
+    tokio::spawn(watch(sources, members, 7, log));
     let by = tokio::time::Instant::now() + std::time::Duration::from_secs(10);
-    let told = tokio::time::timeout_at(by, inputs.recv()).await.expect("never told");
-    assert!(matches!(told, Some(reedwalk_gateway::broker::Input::Engines(listed)) if listed.len() == 1));
+    tokio::time::timeout_at(by, roll.changed()).await.expect("never told");
+    assert_eq!(roll.read().len(), 1);
 }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -18,6 +18,7 @@
         seed: 7,
         limits: Limits::default(),
         names: None,
+        console: None,
         known: Some(known(engines)),
         deployment: reedwalk_settings::read(&settings()).unwrap(),
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -469,6 +469,8 @@
     },
     /// A call to the list failed or the subscription broke.
     ListFailed,
+    /// This process's part of the gateway's work, more than 0 and at most 1; another one has the rest.
+    Part(f64),
     /// A client's request.
     Arrival(Arrival),
     /// A stream has begun; the attempt belongs to the client now.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -78,6 +78,8 @@
 /// The decisions of one gateway.
 pub struct Gateway {
     settings: Settings,
+    /// How many share the pool; a process with half of a gateway's work is one of twice as many.
+    sharers: f64,
     now: i64,
     seq: u64,
     next_beat: i64,
@@ -114,6 +116,7 @@
             pool: Evidence::new(classes.len()),
             last_period: i64::MIN / 2,
             subscribe_at: (settings.discovery == Discovery::Asked).then_some(0),
+            sharers: f64::from(settings.gateways),
             settings,
             now: 0,
             seq: 0,
@@ -158,6 +161,7 @@
         let asked = self.settings.discovery == Discovery::Asked;
         match event {
             Event::Engines { scope, entries } => self.list(*scope, entries),
+            Event::Part(part) => self.part(*part),
             Event::ListFailed => self.subscribe_at = asked.then_some(self.now + SECOND),
             Event::Arrival(arrival) => self.arrive(arrival, actions),
             Event::StreamBegan { request, attempt } => {
@@ -195,6 +199,20 @@
         self.engines.retain(|_, e| e.count > 0 || !e.gone || e.entry.state == EngineState::Draining);
     }
 
+    /// Bounds and cold budgets are parts of what all gateways may do, and go with this process's part of one.
+    fn part(&mut self, part: f64) {
+        let sharers = f64::from(self.settings.gateways) / part.clamp(0.01, 1.0);
+        self.engines.values_mut().for_each(|e| e.bound *= self.sharers / sharers);
+        self.warm_rate *= self.sharers / sharers;
+        self.sharers = sharers;
+    }
+
+    /// Engines on the list that nothing is sent to: out, draining or in quarantine.
+    pub fn avoided(&self) -> usize {
+        let away = |e: &&Engine| e.gone || e.quarantined_until > self.now;
+        self.engines.values().filter(|e| e.entry.state != EngineState::Gone).filter(away).count()
+    }
+
     fn arrive(&mut self, arrival: &Arrival, actions: &mut Vec<Action>) {
         if arrival.class.0 >= self.classes.len() || self.requests.contains_key(&arrival.request) {
             return;
@@ -388,13 +406,13 @@
 
     /// This gateway's part of so many threads a core; at least one query is left to `route`.
     fn own_part(&self, threads: f64, kind: Option<KindId>) -> f64 {
-        threads * self.cores(kind) / f64::from(self.settings.gateways)
+        threads * self.cores(kind) / self.sharers
     }
 
     /// The design's condition: latency far above best, or full.
     fn signs(&self, engine: &Engine) -> bool {
         // Young attempts show no latency yet; own threads tell, between an even part and all.
-        let spread = f64::from(self.settings.gateways).sqrt();
+        let spread = self.sharers.sqrt();
         let (own, pool) = (&engine.evidence, &self.pool);
         // Reports of the pool stand in for own latencies, of which a gateway with little traffic has too few.
         let busy = own.busy.get(LEAST_SAMPLES).or(pool.busy.get(LEAST_SAMPLES));
@@ -494,8 +512,7 @@
     /// its work keeps a reserve of its own: one wide query that runs for seconds would shut out many of it.
     fn chance(&self, class: ClassId, threads: f64, width: f64) -> f64 {
         let first = self.earns(class.0) >= self.most_earned();
-        (if first { RESERVED } else { DEVIATIONS })
-            * (threads * width * (1.0 - 1.0 / f64::from(self.settings.gateways))).sqrt()
+        (if first { RESERVED } else { DEVIATIONS }) * (threads * width * (1.0 - 1.0 / self.sharers)).sqrt()
     }
 
     /// How slow an engine looks: what was last heard of it, fading towards the pool's mean in the time that
@@ -759,7 +776,8 @@
             // Both are in the order of time.
             let extras = self.extras.len() - self.extras.partition_point(|t| *t < since);
             let taken = self.taken.len() - self.taken.partition_point(|t| *t <= since);
-            extras as f64 + 1.0 <= b.free + b.ratio * taken as f64
+            let free = b.free * f64::from(self.settings.gateways) / self.sharers;
+            extras as f64 + 1.0 <= free + b.ratio * taken as f64
         })
     }
 
