Deal out even parts of a cold engine's budget where gateways are few

Cause, by the log and the code (cold_room, src/policy.rs): a part is measured by usual load and then cut so that three deviations of chance still fit, which for 3 gateways left 0.7 core seconds a second of 6.6 allowed, 27% of what a cold engine can do.

Change: even parts of 0.3 of the budget are dealt out as well, where one holds a query; all of them together stay under it whatever the traffic. With 100 gateways and more a part holds none, so nothing changes there.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,6 +47,9 @@
 const WAIT_SHARE: f64 = 0.7;
 /// Our share of a cold engine's budget; the rest is for other classes and for what is sent before the news.
 const COLD_SHARE: f64 = 0.5;
+/// Share of that budget which is dealt out evenly, where an even part holds a query: with the rule's usual figures
+/// three quarters of what the engine can do while it is cold.
+const COLD_EVEN: f64 = 0.3;
 /// Best rises this much a second: a pool that has truly become slower is its own best in some minutes.
 const BEST_DRIFT: f64 = 1.003;
 /// An attempt projected to need this many times its class's mean is taken for a bad plan.
@@ -705,7 +708,9 @@
         let turn = ((self.now + (self.tie % window as u64) as i64) / window) as u64;
         let draw =
             mix(self.tie ^ mix(turn) ^ mix(u64::from(id.0) << 8 | class.0 as u64)) as f64 / u64::MAX as f64;
-        sent + self.weight(class) <= part
+        // Few gateways need no chance: even parts of less than the budget keep to it however traffic falls.
+        let even = COLD_EVEN * rules.tip_multiple * warm * full / self.sharers;
+        sent + self.weight(class) <= part.max(even)
             || sent == 0.0 && engine.count == 0 && draw * self.weight(class) < part
     }
 
