--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -102,6 +102,8 @@
     pub names: Option<SocketAddr>,
     /// Where operators connect; none, and the console is off.
     pub console: Option<SocketAddr>,
+    /// Where files are kept that a process leaves to the next: `TMPDIR`. Used with the console alone.
+    pub folder: PathBuf,
     /// The name server's events up to now.
     pub known: Option<serde_json::Value>,
     /// The settings object, read.
@@ -169,6 +171,7 @@
         name: around.name.unwrap_or(wire.name),
         listen: around.listen.unwrap_or(wire.listen),
         console: around.console.or(wire.console),
+        folder: std::env::temp_dir(),
         seed: u64::from_str_radix(seed, 16).map_err(|_| ConfigError::Seed)?,
         limits: wire.limits,
         names: wire.names,
--- a/gateway/src/engine/flight/call.rs
+++ b/gateway/src/engine/flight/call.rs
@@ -52,22 +52,38 @@
     gate: Gate,
     order: Order,
     class: String,
+    figures: Arc<Figures>,
+    /// A call was made, and its connection did not fail to come up.
+    made: bool,
+}
+
+impl Drop for Call {
+    /// Counts the attempt, also where it is given up. The wire's library does not tell when a call's last byte went
+    /// out; on a connection that is up that is at once.
+    fn drop(&mut self) {
+        if self.made {
+            self.figures.upstream();
+        }
+    }
 }
 
 impl Call {
-    pub fn new(channel: Channel, heard: Arc<Heard>, gate: Gate, order: Order, class: String) -> Self {
+    pub fn new(
+        channel: Channel,
+        heard: Arc<Heard>,
+        gate: Gate,
+        order: Order,
+        class: String,
+        figures: Arc<Figures>,
+    ) -> Self {
         let client = FlightServiceClient::new(channel).max_decoding_message_size(MESSAGE_MOST);
-        Self { client, heard, gate, order, class }
+        Self { client, heard, gate, order, class, figures, made: false }
     }
 
     /// Makes the calls and tells the broker how they ended.
-    pub async fn run(mut self, queue: mpsc::Sender<Input>, figures: &Figures) {
+    pub async fn run(mut self, queue: mpsc::Sender<Input>) {
         let key = self.order.key;
         let told = if self.order.update { self.update().await } else { self.query().await };
-        // The wire's library does not tell when a call's last byte went out; what an engine answered had arrived.
-        if !matches!(&told, Err(Broken::Shut) | Err(Broken::Status(_, false))) {
-            figures.upstream();
-        }
         let end = match told {
             Ok((metadata, rows)) => {
                 let (bill, load) = (read_bill(&metadata), report(&metadata));
@@ -80,6 +96,7 @@
                 End { outcome: outcome(&status, begun), bill: None, load, rows: None }
             }
         };
+        self.made &= end.outcome != Outcome::ConnectFailed;
         let _ = queue.send(Input::News(key, News::Ended(end))).await;
     }
 
@@ -104,8 +121,12 @@
     }
 
     /// Looked at last before anything goes out that runs.
-    fn may_begin(&self) -> Result<(), Broken> {
-        if self.gate.open(Instant::now()) { Ok(()) } else { Err(Broken::Shut) }
+    fn may_begin(&mut self) -> Result<(), Broken> {
+        if !self.gate.open(Instant::now()) {
+            return Err(Broken::Shut);
+        }
+        self.made = true;
+        Ok(())
     }
 
     fn statement(&self) -> Result<String, Broken> {
--- a/gateway/src/engine/flight/mod.rs
+++ b/gateway/src/engine/flight/mod.rs
@@ -100,9 +100,10 @@
         let Some((line, heard, gate)) = picked else { return false };
         let class = self.sockets.classes.get(order.class.0).cloned().unwrap_or_default();
         let key = order.key;
-        let call = call::Call::new(line.channel.clone(), heard.clone(), gate.clone(), order, class);
-        let (queue, figures) = (self.queue.clone(), self.figures.clone());
-        let task = line.seat.spawn(async move { call.run(queue, &figures).await });
+        let (channel, figures) = (line.channel.clone(), self.figures.clone());
+        let call = call::Call::new(channel, heard.clone(), gate.clone(), order, class, figures);
+        let queue = self.queue.clone();
+        let task = line.seat.spawn(async move { call.run(queue).await });
         self.tasks.insert(key, task);
         true
     }
--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -102,23 +102,10 @@
                         continue;
                     }
                 },
-                () = closing(&mut phase) => return,
+                () = closing(&mut phase) => break,
             };
-            next = next.wrapping_add(1).max(1);
-            let (now, id) = (Instant::now(), next);
-            let _ = stream.set_nodelay(true);
-            match self.places.enter(id, now) {
-                Some(place) => {
-                    let (front, phase, alive) = (self.clone(), phase.clone(), alive.clone());
-                    let seat = self.cores.seat();
-                    let Ok(stream) = seat.bring(stream) else { continue };
-                    seat.spawn(async move {
-                        session::Session::new(&front, stream, id, place, now).run(phase).await;
-                        drop(alive);
-                    });
-                }
-                None => refuse(&stream),
-            }
+            next = self.enter(stream, next, &phase, &alive);
+            let now = Instant::now();
             let counts = self.places.counts();
             if counts != told.1 && now - told.0 >= Duration::from_secs(1) {
                 told = (now, counts);
@@ -127,6 +114,39 @@
             // Who was told to make room does so before the next one comes in.
             tokio::task::yield_now().await;
         }
+        // What the system has taken for us is ours: closed now, it would be reset.
+        let Ok(listener) = listener.into_std() else { return };
+        while let Ok((stream, _)) = listener.accept() {
+            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+            if let Ok(stream) = stream {
+                next = self.enter(stream, next, &phase, &alive);
+            }
+        }
+    }
+
+    /// Gives a newcomer a session, or turns it away; the last number given.
+    fn enter(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        last: u32,
+        phase: &watch::Receiver<Phase>,
+        alive: &mpsc::Sender<()>,
+    ) -> u32 {
+        let (now, id) = (Instant::now(), last.wrapping_add(1).max(1));
+        let _ = stream.set_nodelay(true);
+        let Some(place) = self.places.enter(id, now) else {
+            refuse(&stream);
+            return id;
+        };
+        let (front, phase, alive) = (self.clone(), phase.clone(), alive.clone());
+        let seat = self.cores.seat();
+        if let Ok(stream) = seat.bring(stream) {
+            seat.spawn(async move {
+                session::Session::new(&front, stream, id, place, now).run(phase).await;
+                drop(alive);
+            });
+        }
+        id
     }
 }
 
--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -6,9 +6,11 @@
 use super::statement::{self, BadFields};
 use crate::broker::{Answer, Ask, Failure, Refusal, Ticket};
 use crate::figures::Ending;
-use crate::shutdown::{Phase, closing};
+use crate::shutdown::{Phase, closed_to};
 use bytes::{Bytes, BytesMut};
 use reedwalk_core::{ClassId, Effect};
+use socket2::SockRef;
+use std::mem::MaybeUninit;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -17,12 +19,12 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// A client must have logged in, and what it has begun to send at first must be whole, this long after it
-/// connected: it is owed an answer or a close within 3 s.
-const LOGIN_BY: Duration = Duration::from_millis(2500);
+/// connected: some write for 2 s, and one that never comes to an end is owed a close within 3 s.
+const LOGIN_BY: Duration = Duration::from_millis(2800);
 /// A login is no larger.
 const LOGIN_MOST: usize = 4 * 1024;
 /// A later message must be whole this long after its first byte.
-const WHOLE_BY: Duration = Duration::from_secs(2);
+const WHOLE_BY: Duration = Duration::from_millis(2700);
 /// A client that does not read its answer is let go this long after its deadline.
 const READ_BY: Duration = Duration::from_secs(2);
 /// Who judges does so on another core, and may stand still: so long after the deadline, past what the broker
@@ -126,6 +128,8 @@
         if self.input.is_empty() && self.input.capacity() > KEPT_MOST {
             self.input = BytesMut::new();
         }
+        // Whoever was still let in has its first request on the way.
+        let stays = if self.asked { since } else { since + LOGIN_BY };
         let leave = self.place.leave.clone();
         let (mut room, mut by) = (None, None);
         loop {
@@ -148,7 +152,15 @@
                 biased;
                 filled = self.fill() => filled?,
                 () = leave.notified() => return Err(Closed::ByUs),
-                () = closing(phase), if idle => return Err(Closed::ByUs),
+                () = closed_to(phase, stays), if idle => {
+                    // The runtime goes by what it was last told of a socket, so the system itself is asked: a
+                    // request that has come would be lost with the close.
+                    let mut byte = [MaybeUninit::uninit()];
+                    if !matches!(SockRef::from(&self.stream).peek(&mut byte), Ok(n) if n > 0) {
+                        return Err(Closed::ByUs);
+                    }
+                    tokio::task::yield_now().await;
+                }
                 () = sleep_until(by.unwrap_or(since)), if by.is_some() => return Err(Closed::ByUs),
             }
         }
--- a/gateway/src/members/mod.rs
+++ b/gateway/src/members/mod.rs
@@ -194,25 +194,30 @@
 
     /// Looks at the record again and again for what the other process was told.
     pub async fn watch(self) {
-        let Some(keep) = self.keep.clone() else { return };
+        if self.keep.is_none() {
+            return;
+        }
         let mut next = Instant::now();
         loop {
             next += LOOK_EVERY;
             sleep_until(next).await;
             next = next.max(Instant::now());
-            if !keep.changed() {
-                continue;
-            }
-            let kept = keep.read(&self.log);
-            let mut inner = self.inner();
-            let changed = inner.hand.merge(&kept);
-            if !changed.is_empty() {
-                info!(self.log, "operator, by the other process"; "engines" => ?changed);
-            }
-            self.heed(&mut inner, &changed);
-            if inner.hand != kept {
-                warn!(self.log, "the record lacks words that hold here");
-            }
+            self.look();
+        }
+    }
+
+    /// Takes in what has been kept since the last look.
+    pub fn look(&self) {
+        let Some(keep) = self.keep.as_ref().filter(|k| k.changed()) else { return };
+        let kept = keep.read(&self.log);
+        let mut inner = self.inner();
+        let changed = inner.hand.merge(&kept);
+        if !changed.is_empty() {
+            info!(self.log, "operator, by the other process"; "engines" => ?changed);
+        }
+        self.heed(&mut inner, &changed);
+        if inner.hand != kept {
+            warn!(self.log, "the record lacks words that hold here");
         }
     }
 }
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -158,7 +158,7 @@
     let (queue, inputs) = mpsc::channel(QUEUE);
     let cores = Cores::start(operator.cores).map_err(|e| ServeError::Io("cores", e))?;
     // Only a front end that operators can reach has a second process beside it, or words to keep.
-    let kept = config.console.map(|_| (std::env::temp_dir(), stem(&config.name, config.listen)));
+    let kept = config.console.map(|_| (config.folder.clone(), stem(&config.name, config.listen)));
     let succession_log = log.new(o!("part" => "succession"));
     let succession = kept.as_ref().map(|(folder, stem)| Succession::enter(folder, stem, succession_log));
     let (alone, only) = watch::channel(Part::default());
@@ -346,16 +346,24 @@
         self.reloads.clone()
     }
 
-    /// Does another process of this front end take clients at the same address?
-    pub fn relieved(&self) -> bool {
-        self.part.borrow().relieved
+    /// Says that this process ends, and returns once another of this front end takes clients at the same address, or
+    /// at `by`: until then newcomers have nowhere else to go.
+    pub async fn relieved(&self, by: Instant) {
+        self.stage.send_replace(Stage::Closing);
+        let mut part = self.part.clone();
+        let relieved = async {
+            if part.wait_for(|p| p.relieved).await.is_err() {
+                // Nobody looks for another, so none comes.
+                std::future::pending::<()>().await;
+            }
+        };
+        let _ = timeout_at(by, relieved).await;
     }
 
     /// Closes the fronts to what is new and waits until all that was taken is answered, counted from `since`.
     pub async fn close(mut self, since: Instant) {
         self.phase.send_replace(Phase::Closing);
         self.health.set(false);
-        self.stage.send_replace(Stage::Closing);
         // Each session holds a sender: when all are gone, all that was taken has been answered.
         let _ = timeout_at(since + self.longest + LAST, self.ended.recv()).await;
     }
@@ -375,7 +383,7 @@
     // Before anything else: until it is listened to, SIGHUP ends the program.
     let mut signals = Signals::new().map_err(|e| ServeError::Io("signals", e))?;
     let running = start(config, operator, &log).await?;
-    info!(log, "serving"; "mysql" => %running.mysql, "flight" => ?running.flight);
+    info!(log, "serving"; "mysql" => %running.mysql, "console" => ?running.console, "flight" => ?running.flight);
     let reloads = running.reloads();
     let unjudged = running.unjudged();
     tokio::pin!(unjudged);
@@ -389,12 +397,9 @@
         }
     }
     let came = Instant::now();
-    let relieved = running.relieved();
-    info!(log, "closing"; "another serves" => relieved);
+    info!(log, "closing");
     let ending = async {
-        if !relieved {
-            sleep_until(came + OVERLAP).await;
-        }
+        running.relieved(came + OVERLAP).await;
         running.close(came).await;
     };
     tokio::pin!(ending);
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
 
 /// New connections and requests keep coming for this long after SIGTERM.
 pub const OVERLAP: Duration = Duration::from_millis(750);
@@ -56,6 +57,12 @@
     }
 }
 
+/// Returns when the fronts are to close, and not before this instant.
+pub async fn closed_to(phase: &mut watch::Receiver<Phase>, not_before: Instant) {
+    closing(phase).await;
+    sleep_until(not_before).await;
+}
+
 /// Returns when the fronts are to close.
 pub async fn closing(phase: &mut watch::Receiver<Phase>) {
     let _ = phase.wait_for(|p| *p == Phase::Closing).await;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 #![allow(missing_docs)]
 
 pub mod config;
+pub mod console;
 pub mod driver;
 pub mod flight;
 pub mod model;
