Take in the other process's words by one piece of code, and give up a console place once

A call and the look at the record merged and heeded the words each in its own lines, and a console caller gave its place up twice, the first time when it was over anyway.

Change: Members::merge serves both (a call now also logs what the other process was told); the place is given up in Console::serve alone. Behaviour, bounds and tests stay.

Found and left, since it changes behaviour: a caller of the console whose line is whole and whose word waits for the record (0.6 s at most) can still be pushed out by 16 newcomers.

--- a/gateway/src/console/mod.rs
+++ b/gateway/src/console/mod.rs
@@ -95,7 +95,7 @@
                     let console = self.clone();
                     tokio::spawn(async move {
                         tokio::select! {
-                            () = console.caller(stream, id) => {}
+                            () = console.caller(stream) => {}
                             _ = pushed => {}
                             () = sleep_until(by) => {}
                         }
@@ -112,7 +112,7 @@
         }
     }
 
-    async fn caller(&self, mut stream: TcpStream, id: u64) {
+    async fn caller(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut input = BytesMut::with_capacity(line::LINE_MOST + 1);
         let call = loop {
@@ -143,7 +143,6 @@
         let mut rest = [0; 512];
         let drained = async { while matches!(stream.read(&mut rest).await, Ok(n) if n > 0) {} };
         let _ = timeout_at(by, drained).await;
-        self.callers().leave(id);
     }
 
     async fn answer(&self, call: Call) -> String {
--- a/gateway/src/members/mod.rs
+++ b/gateway/src/members/mod.rs
@@ -160,6 +160,15 @@
         self.tell(inner, listed);
     }
 
+    /// Lets what the other process was told hold here.
+    fn merge(&self, inner: &mut Inner, kept: &Hand) {
+        let changed = inner.hand.merge(kept);
+        if !changed.is_empty() {
+            info!(self.log, "operator, by the other process"; "engines" => ?changed);
+        }
+        self.heed(inner, &changed);
+    }
+
     /// Takes in an operator's word. It is kept, and holds here, before this returns.
     ///
     /// # Errors
@@ -173,8 +182,7 @@
         };
         let mut inner = self.inner();
         if let Some(keep) = &self.keep {
-            let changed = inner.hand.merge(&keep.read(&self.log));
-            self.heed(&mut inner, &changed);
+            self.merge(&mut inner, &keep.read(&self.log));
         }
         if inner.book.find(engine).is_none() && !inner.hand.knows(engine) {
             return Err(SayError::Unknown);
@@ -211,11 +219,7 @@
         let Some(keep) = self.keep.as_ref().filter(|k| k.changed()) else { return };
         let kept = keep.read(&self.log);
         let mut inner = self.inner();
-        let changed = inner.hand.merge(&kept);
-        if !changed.is_empty() {
-            info!(self.log, "operator, by the other process"; "engines" => ?changed);
-        }
-        self.heed(&mut inner, &changed);
+        self.merge(&mut inner, &kept);
         if inner.hand != kept {
             warn!(self.log, "the record lacks words that hold here");
         }
