--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,8 +47,8 @@
 const WAIT_SHARE: f64 = 0.7;
 /// Our share of a cold engine's budget; the rest is for other classes and for what is sent before the news.
 const COLD_SHARE: f64 = 0.5;
-/// Share of that budget which is dealt out evenly, where an even part holds a query: with the rule's usual figures
-/// three quarters of what the engine can do while it is cold.
+/// Share of that budget which is dealt out evenly, where an even part holds a query: with the rule's usual
+/// figures three quarters of what the engine can do while it is cold.
 const COLD_EVEN: f64 = 0.3;
 /// Best rises this much a second: a pool that has truly become slower is its own best in some minutes.
 const BEST_DRIFT: f64 = 1.003;
