Leave a console caller in its place while its call is answered

Need: a caller whose line is whole, and whose word waits up to 0.6 s for the record that the other process holds, could be pushed out by 16 newcomers and never heard whether its word held (found by reading; gateway/src/console/mod.rs, Callers::enter).

Change: only who asks nothing, before a whole line or after its answer, can be pushed out; up to 16 calls are answered at a time, and one more is told so at once. All still ends 3 s after it came.

Measured: a test holds the record's lock, lets 48 newcomers in and lets go: SUCCESS; with the guard taken out the caller gets nothing and the test fails.

--- a/gateway/src/console/mod.rs
+++ b/gateway/src/console/mod.rs
@@ -18,7 +18,8 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// Callers at a time. They have places of their own: neither clients nor engines give any up for them.
+/// Callers without a whole line at a time, and as many whose call is being answered. They have places of their own:
+/// neither clients nor engines give any up for them.
 pub const CALLERS_MOST: usize = 16;
 /// A caller's whole connection ends this long after it came, read or not.
 const ENDED_BY: Duration = Duration::from_secs(3);
@@ -50,28 +51,51 @@
     log: Logger,
 }
 
-/// Who is here without a whole line, the longest there first.
+/// Who is here. Only who asks nothing of us, before a whole line or after the answer, can be pushed out.
 #[derive(Debug, Default)]
 struct Callers {
     next: u64,
-    here: VecDeque<(u64, oneshot::Sender<()>)>,
+    /// Those who can be, the longest there first. A sender that is dropped tells its caller to go.
+    idle: VecDeque<(u64, oneshot::Sender<()>)>,
+    /// Those whose call is being answered.
+    answered: Vec<(u64, oneshot::Sender<()>)>,
 }
 
 impl Callers {
-    /// A place for a newcomer; the one who has had his longest gives it up where there is none.
+    /// A place for a newcomer.
     fn enter(&mut self) -> (u64, oneshot::Receiver<()>) {
-        if self.here.len() >= CALLERS_MOST {
-            // Dropped, it tells its caller to go.
-            self.here.pop_front();
-        }
         let (stay, pushed) = oneshot::channel();
         self.next += 1;
-        self.here.push_back((self.next, stay));
+        self.wait((self.next, stay));
         (self.next, pushed)
     }
 
+    /// The one who has had his place longest gives it up where there is none.
+    fn wait(&mut self, caller: (u64, oneshot::Sender<()>)) {
+        if self.idle.len() >= CALLERS_MOST {
+            self.idle.pop_front();
+        }
+        self.idle.push_back(caller);
+    }
+
+    /// Its line is whole: it stays until it has its answer, if not too many have one to wait for.
+    fn call(&mut self, id: u64) -> bool {
+        let place = self.idle.iter().position(|c| c.0 == id).filter(|_| self.answered.len() < CALLERS_MOST);
+        self.answered.extend(place.and_then(|p| self.idle.remove(p)));
+        place.is_some()
+    }
+
+    /// It has its answer, and little is left to wait for.
+    fn done(&mut self, id: u64) {
+        if let Some(place) = self.answered.iter().position(|c| c.0 == id) {
+            let caller = self.answered.swap_remove(place);
+            self.wait(caller);
+        }
+    }
+
     fn leave(&mut self, id: u64) {
-        self.here.retain(|c| c.0 != id);
+        self.idle.retain(|c| c.0 != id);
+        self.answered.retain(|c| c.0 != id);
     }
 }
 
@@ -95,7 +119,7 @@
                     let console = self.clone();
                     tokio::spawn(async move {
                         tokio::select! {
-                            () = console.caller(stream) => {}
+                            () = console.caller(id, stream) => {}
                             _ = pushed => {}
                             () = sleep_until(by) => {}
                         }
@@ -112,7 +136,7 @@
         }
     }
 
-    async fn caller(&self, mut stream: TcpStream) {
+    async fn caller(&self, id: u64, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut input = BytesMut::with_capacity(line::LINE_MOST + 1);
         let call = loop {
@@ -129,6 +153,7 @@
             }
         };
         let answer = match call {
+            Ok(_) if !self.callers().call(id) => failure(&"too many calls wait for their answer"),
             Ok(call) => self.answer(call).await,
             Err(bad) => {
                 info!(self.log, "no call"; "why" => %bad, "line" => ?input);
@@ -138,6 +163,7 @@
         if stream.write_all(answer.as_bytes()).await.is_err() || stream.shutdown().await.is_err() {
             return;
         }
+        self.callers().done(id);
         // A close over unread bytes would be a reset, which can overtake the answer. Little is waited for it.
         let by = Instant::now() + Duration::from_millis(200);
         let mut rest = [0; 512];
--- a/gateway/tests/operation.rs
+++ b/gateway/tests/operation.rs
@@ -190,6 +190,34 @@
     assert!(open <= most, "{open} callers hold places");
 }
 
+#[tokio::test]
+async fn a_call_that_waits_for_the_record_is_answered_whoever_comes_after_it() {
+    let world = World::default();
+    let config = with_console(&engines(&world).await);
+    let folder = config.folder.clone();
+    let running = gateway(config, Operator::default()).await;
+    let console = running.console.unwrap();
+    // Makes the files of the record; then another process holds its lock.
+    assert!(yes(console, "OFFLINE s-0").await);
+    let mut files = std::fs::read_dir(folder).unwrap().map(|f| f.unwrap().path());
+    let lock = files.find(|f| f.extension().is_some_and(|e| e == "words-lock")).unwrap();
+    let lock = std::fs::File::open(lock).unwrap();
+    lock.lock().unwrap();
+    let mut waits = TcpStream::connect(console).await.unwrap();
+    waits.write_all(b"ONLINE s-0\n").await.unwrap();
+    let mut newcomers = Vec::new();
+    for _ in 0..3 * reedwalk_gateway::console::CALLERS_MOST {
+        newcomers.push(TcpStream::connect(console).await.unwrap());
+    }
+    // An answer to a later call says that all who came before it have been let in.
+    assert!(yes(console, "HEALTH").await);
+    drop(lock);
+    let mut answer = String::new();
+    tokio::io::AsyncReadExt::read_to_string(&mut waits, &mut answer).await.unwrap();
+    assert_eq!(answer, "SUCCESS\n");
+    shows(console, "the call back", |f| f["members_unavailable"] == 0).await;
+}
+
 // ---- Figures
 
 #[tokio::test]
