--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Tasks of the repository. CONFIG names the configuration that `make run` starts with.
 CONFIG ?= deploy/example-config.json
 
-.PHONY: build test lint run measure-held measure-cores
+.PHONY: build test lint run measure-held measure-cores measure-room measure-handover
 
 build:
 	cargo build --release --locked
@@ -25,3 +25,11 @@
 # The gain of several cores and what is lost in judgement; some minutes, best alone on the machine.
 measure-cores: build
 	cargo run --release --locked -p reedwalk-measures --bin measure-cores
+
+# Memory that a front end holds for each who connects and asks nothing.
+measure-room: build
+	cargo run --release --locked -p reedwalk-measures --bin measure-room
+
+# What clients meet while one process takes over from another, 25 times under load; some 40 s.
+measure-handover: build
+	cargo run --release --locked -p reedwalk-measures --bin measure-handover
--- a/gateway/src/cli.rs
+++ b/gateway/src/cli.rs
@@ -1,12 +1,18 @@
 //! The command line.
 
 use crate::config::{self, Config, ConfigError, Surroundings};
+use crate::console;
 use crate::operator::Operator;
 use crate::serve;
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A console answers within a second at any load; past this nobody is there.
+const ANSWERED_BY: Duration = Duration::from_secs(2);
 
 /// How the program is called.
 pub const USAGE: &str = "\
@@ -14,6 +20,9 @@
 
   serve          run the front end until SIGTERM
   check-config   read the configuration, say what it holds, and end
+  call ADDRESS LINE...
+                 take a call to the console of a front end, such as HEALTH or OFFLINE ID, and print the answer;
+                 ends with 1 where it is no
   version        say the version
 
 options of serve and check-config:
@@ -89,20 +98,33 @@
             }
             Ok(())
         }
+        Some("call") => {
+            let mut words = args.finish().into_iter().map(|w| w.to_string_lossy().into_owned());
+            let address = words.next().and_then(|a| a.parse().ok());
+            let address =
+                address.ok_or("call: the console's address is wanted first, as in 127.0.0.1:9800")?;
+            let line = words.collect::<Vec<_>>().join(" ");
+            let answer = runtime()?.block_on(console::take(address, &line, Instant::now() + ANSWERED_BY));
+            let answer = answer.map_err(|e| format!("{address}: {e}"))?;
+            print!("{answer}");
+            if answer.starts_with(console::NO) { Err("the answer is no".into()) } else { Ok(()) }
+        }
         Some("serve") => {
             let options = options(&mut args)?;
             finish(args)?;
             let (config, operator) = load(&options)?;
             let log = logger(options.level);
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-            let runtime = runtime.map_err(|e| e.to_string())?;
             let again = || read(&options.config);
-            runtime.block_on(serve::serve(config, operator, again, log)).map_err(|e| e.to_string())
+            runtime()?.block_on(serve::serve(config, operator, again, log)).map_err(|e| e.to_string())
         }
         _ => Err(USAGE.to_owned()),
     }
 }
 
+fn runtime() -> Result<tokio::runtime::Runtime, String> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())
+}
+
 fn finish(args: pico_args::Arguments) -> Result<(), String> {
     match args.finish().first() {
         None => Ok(()),
--- a/gateway/src/console/mod.rs
+++ b/gateway/src/console/mod.rs
@@ -10,6 +10,7 @@
 use slog::{Logger, info, warn};
 use std::collections::VecDeque;
 use std::fmt::Write;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -23,9 +24,30 @@
 pub const CALLERS_MOST: usize = 16;
 /// A caller's whole connection ends this long after it came, read or not.
 const ENDED_BY: Duration = Duration::from_secs(3);
+/// Bytes of an answer at most, for who reads one.
+const ANSWER_MOST: u64 = 1 << 20;
 /// The end of each answer to DUMP.
 const END: &str = "EOT";
 
+/// How a no begins.
+pub const NO: &str = "FAILURE";
+
+/// Takes one line to a console and brings its answer back; an error where there is none by `by`.
+///
+/// # Errors
+/// Where it can't be reached, or does not answer in time.
+pub async fn take(address: SocketAddr, line: &str, by: Instant) -> std::io::Result<String> {
+    let called = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(format!("{line}\n").as_bytes()).await?;
+        let mut answer = String::new();
+        stream.take(ANSWER_MOST).read_to_string(&mut answer).await?;
+        std::io::Result::Ok(answer)
+    };
+    let answer = timeout_at(by, called).await??;
+    if answer.is_empty() { Err(std::io::ErrorKind::UnexpectedEof.into()) } else { Ok(answer) }
+}
+
 /// Whether this process takes clients.
 #[derive(Clone, Debug, Default)]
 pub struct Health(Arc<AtomicBool>);
@@ -196,5 +218,5 @@
 }
 
 fn failure(why: &impl std::fmt::Display) -> String {
-    format!("FAILURE {why}\n")
+    format!("{NO} {why}\n")
 }
--- a/gateway/tests/operation.rs
+++ b/gateway/tests/operation.rs
@@ -386,6 +386,31 @@
     assert_eq!(process.said("record of operators' words not used"), 1, "said once");
 }
 
+#[tokio::test]
+async fn the_program_takes_the_calls_of_the_on_call_page_to_a_console() {
+    let world = World::default();
+    let site = Site::new(&engines(&world).await, None, 256);
+    let process = site.start();
+    let console = process.console.to_string();
+    let called = |words: &[&str]| {
+        let out = Command::new(env!("CARGO_BIN_EXE_reedwalk")).arg("call").args(words).output().unwrap();
+        (out.status.code(), String::from_utf8(out.stdout).unwrap())
+    };
+    let yes = (Some(0), "SUCCESS\n".to_owned());
+    assert_eq!(called(&[&console, "HEALTH"]), yes);
+    assert_eq!(called(&[&console, "OFFLINE", "s-0"]), yes);
+    shows(process.console, "the call out", |f| f["members_unavailable"] == 1).await;
+    let (code, dump) = called(&[&console, "DUMP"]);
+    assert!(code == Some(0) && dump.contains("svc.members:2|g\n") && dump.ends_with("EOT\n"), "{dump}");
+    assert_eq!(called(&[&console, "ONLINE", "s-0"]), yes);
+    let (code, why) = called(&[&console, "OFFLINE", "s-7"]);
+    assert_eq!((code, why.as_str()), (Some(1), "FAILURE no engine of this id was ever listed\n"));
+    // Nobody there, and no address at all.
+    drop(process);
+    assert_eq!(called(&[&console, "HEALTH"]), (Some(1), String::new()));
+    assert_eq!(called(&["HEALTH"]), (Some(1), String::new()));
+}
+
 // ---- Two processes
 
 /// Load from clients that connect for each request, and from such that keep their connections.
--- a/measures/src/bin/measure-cores.rs
+++ b/measures/src/bin/measure-cores.rs
@@ -70,8 +70,7 @@
                 names,
                 operator,
                 seed,
-                sockets: 1024,
-                late_worth: None,
+                ..Setup::default()
             })
         })
         .collect()
--- a/measures/src/bin/measure-held.rs
+++ b/measures/src/bin/measure-held.rs
@@ -27,15 +27,11 @@
         engines
     });
     let front = Front::start(&Setup {
-        gateways: 1,
-        ordinal: 0,
         known: known(&engines),
-        names: None,
-        operator: None,
-        seed: 7,
         sockets: 4096,
         // Late answers earn as much as those in time: nothing held is given up.
         late_worth: Some(1.0),
+        ..Setup::default()
     });
     let kind = Kind {
         route: "lookup",
--- a/measures/src/lib.rs
+++ b/measures/src/lib.rs
@@ -6,9 +6,10 @@
 use std::future::Future;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
 
 /// A running front end; ended by its id when this is dropped.
 pub struct Front {
@@ -30,6 +31,25 @@
     pub sockets: usize,
     /// What a late answer is worth, where it is not the usual.
     pub late_worth: Option<f64>,
+    /// The clients' address and the folder of a front end that staff replace in service; with a console then.
+    pub replaced: Option<(SocketAddr, &'a Path)>,
+}
+
+impl Default for Setup<'_> {
+    /// One front end alone, without engines.
+    fn default() -> Self {
+        Self {
+            gateways: 1,
+            ordinal: 0,
+            known: Value::Null,
+            names: None,
+            operator: None,
+            seed: 7,
+            sockets: 1024,
+            late_worth: None,
+            replaced: None,
+        }
+    }
 }
 
 impl Front {
@@ -46,9 +66,13 @@
                 class["LateValue"] = json!(worth);
             }
         }
-        let config = json!({"name": format!("n{}", setup.ordinal), "listen": "127.0.0.1:0",
+        let mut config = json!({"name": format!("n{}", setup.ordinal), "listen": "127.0.0.1:0",
             "seed": format!("{:x}", setup.seed), "names": setup.names, "known": setup.known, "settings": settings,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": setup.sockets}});
+        if let Some((listen, _)) = setup.replaced {
+            config["listen"] = json!(listen);
+            config["console"] = json!("127.0.0.1:0");
+        }
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let file =
             |kind| std::env::temp_dir().join(format!("reedwalk-{}-{number}-{kind}", std::process::id()));
@@ -57,6 +81,9 @@
         let mut command = Command::new(program);
         command.arg("serve").arg("--config").arg(&files[0]);
         command.env_remove("GW_LISTEN").env_remove("GW_NAME").stderr(Stdio::piped()).stdout(Stdio::null());
+        if let Some((_, folder)) = setup.replaced {
+            command.env_remove("GW_CONSOLE").env("TMPDIR", folder);
+        }
         if let Some(operator) = setup.operator {
             files.push(file("operator"));
             std::fs::write(&files[1], operator).unwrap();
@@ -78,6 +105,33 @@
         ticks_ms(&stat)
     }
 
+    /// Asks it to end, by its id.
+    pub fn terminate(&self) {
+        let _ = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+    }
+
+    /// How it ended, if it has by then.
+    pub fn ended(&mut self, by: Instant) -> Option<ExitStatus> {
+        while Instant::now() < by {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        None
+    }
+
+    /// Memory that it holds now, in KB.
+    pub fn resident_kb(&self) -> f64 {
+        self.status("VmRSS:")
+    }
+
+    fn status(&self, field: &str) -> f64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with(field)).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     /// CPU time of the thread of this name so far, in milliseconds; 0 where there is none.
     pub fn thread_ms(&self, name: &str) -> f64 {
         let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
@@ -87,9 +141,7 @@
 
     /// Most memory that it has held, in MB.
     pub fn memory_mb(&self) -> f64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
-        line.split_whitespace().nth(1).unwrap().parse::<f64>().unwrap() / 1024.0
+        self.status("VmHWM:") / 1024.0
     }
 }
 
