--- /dev/null
+++ b/store/src/codec.rs
@@ -0,0 +1,102 @@
+//! Values as they stand in the store: a schema version, a checksum, and what `postcard` makes of the value. What is
+//! cut, garbled or of another version is no value; it is counted and never used.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::fmt;
+
+/// The version that this program writes, and the only one that it reads.
+pub const SCHEMA: u8 = 1;
+/// Bytes of a value at most.
+pub const VALUE_MOST: usize = 16 * 1024;
+const HEAD: usize = 5;
+
+/// Why bytes are no value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadValue {
+    /// Larger than any value, or shorter.
+    Size,
+    /// Of a version that this program does not know.
+    Schema(u8),
+    /// The checksum does not fit, or what it covers is something else.
+    Garbled,
+}
+
+impl fmt::Display for BadValue {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Size => write!(f, "of no value's size"),
+            Self::Schema(version) => write!(f, "of unknown schema version {version}"),
+            Self::Garbled => write!(f, "garbled"),
+        }
+    }
+}
+
+impl std::error::Error for BadValue {}
+
+/// The bytes of a value; none where they would be too many.
+pub fn encode(value: &impl Serialize) -> Option<Vec<u8>> {
+    let body = postcard::to_allocvec(value).ok()?;
+    if body.len() > VALUE_MOST - HEAD {
+        return None;
+    }
+    let mut bytes = Vec::with_capacity(HEAD + body.len());
+    bytes.push(SCHEMA);
+    bytes.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    bytes.extend_from_slice(&body);
+    Some(bytes)
+}
+
+/// The value of these bytes.
+///
+/// # Errors
+/// Says why they are none.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, BadValue> {
+    let (Some((&version, rest)), true) = (bytes.split_first(), bytes.len() <= VALUE_MOST) else {
+        return Err(BadValue::Size);
+    };
+    if version != SCHEMA {
+        return Err(BadValue::Schema(version));
+    }
+    let (sum, body) = rest.split_first_chunk::<4>().ok_or(BadValue::Size)?;
+    if crc32fast::hash(body) != u32::from_le_bytes(*sum) {
+        return Err(BadValue::Garbled);
+    }
+    match postcard::take_from_bytes(body) {
+        Ok((value, [])) => Ok(value),
+        _ => Err(BadValue::Garbled),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_value_comes_back_whole_or_not_at_all() {
+        let value = (7u64, Some(b"an answer".to_vec()));
+        let bytes = encode(&value).unwrap();
+        assert_eq!(decode(&bytes), Ok(value));
+        for size in 0..bytes.len() {
+            assert!(decode::<(u64, Option<Vec<u8>>)>(&bytes[..size]).is_err(), "cut to {size}");
+        }
+        for at in 0..bytes.len() {
+            let mut changed = bytes.clone();
+            changed[at] ^= 0x10;
+            assert!(decode::<(u64, Option<Vec<u8>>)>(&changed).is_err(), "byte {at}");
+        }
+        let longer = [&bytes[..], &[0]].concat();
+        assert_eq!(decode::<(u64, Option<Vec<u8>>)>(&longer), Err(BadValue::Garbled));
+    }
+
+    #[test]
+    fn what_is_too_large_or_of_another_version_is_no_value() {
+        assert_eq!(encode(&vec![0u8; VALUE_MOST]), None);
+        assert_eq!(decode::<u8>(&vec![SCHEMA; VALUE_MOST + 1]), Err(BadValue::Size));
+        assert_eq!(decode::<u8>(&[9, 0, 0, 0, 0, 0]), Err(BadValue::Schema(9)));
+        // A length that lies makes no room for what is not there.
+        let body = [0xff, 0xff, 0xff, 0xff, 0x0f];
+        let lying = [&[SCHEMA], &crc32fast::hash(&body).to_le_bytes()[..], &body].concat();
+        assert_eq!(decode::<Vec<u8>>(&lying), Err(BadValue::Garbled));
+    }
+}
