Test the close of the old process: its queue, its overlap, its health

Need: with each guard of operation taken out a test must fail. Twelve were taken out, one at a time; eight made tests fail, three none: the queue taken before the close (front/mysql/mod.rs), the wait for a successor or the overlap (serve.rs), HEALTH only while serving (console/mod.rs).

Change: two tests with real processes. One stops the old process, lets 60 clients queue at both listeners, sends SIGTERM and lets it go on: all are served. The other ends a process alone while a request waits: it accepts on, serves, and then says no to HEALTH until it has ended.

--- a/gateway/tests/operation.rs
+++ b/gateway/tests/operation.rs
@@ -493,6 +493,56 @@
     assert!(counted["completed.lookup"] >= 100 && counted["pending"] == 0, "{counted:?}");
 }
 
+#[tokio::test]
+async fn what_stands_in_the_queue_of_the_old_process_as_it_closes_is_served() {
+    let world = World::default();
+    let site = Site::new(&engines(&world).await, None, 1024);
+    let mut old = site.start();
+    let new = site.start();
+    // It stands still: who comes to it now waits in its queue.
+    old.signal("-STOP");
+    let mut queued = Vec::new();
+    for _ in 0..60 {
+        queued.push(TcpStream::connect(site.listen).await.unwrap());
+    }
+    old.signal("-TERM");
+    old.signal("-CONT");
+    for (n, stream) in queued.into_iter().enumerate() {
+        let mut client = Client::login(stream, "app").await.expect("turned away at the close");
+        assert_eq!(client.ended(&lookup(n)).await, Ended::Served);
+    }
+    assert_eq!(old.exit_code().await, Some(0));
+    assert!(yes(new.console, "HEALTH").await);
+}
+
+#[tokio::test]
+async fn one_alone_goes_on_accepting_after_sigterm_and_then_says_that_it_takes_no_clients() {
+    let world = World::default();
+    let site = Site::new(&engines(&world).await, None, 256);
+    let mut process = site.start();
+    // Its request keeps the process until its patience ends, past the overlap.
+    let mut waits = Client::connect(site.listen).await;
+    waits.stream_query(&fields("lookup", 2000, None, "HANG on")).await;
+    shows(process.console, "the request that waits", |f| f["pending"] == 1).await;
+    process.signal("-TERM");
+    until("it closes", || process.said("closing") > 0).await;
+    let mut late = Client::connect(site.listen).await;
+    assert_eq!(late.ended(&lookup(1)).await, Ended::Served);
+    drop(late);
+    let console = process.console;
+    let by = Instant::now() + Duration::from_secs(10);
+    loop {
+        let answer = call(console, "HEALTH").await;
+        if answer == "FAILURE this process takes no clients\n" {
+            break;
+        }
+        assert_eq!(answer, "SUCCESS\n", "it ended without a no");
+        assert!(Instant::now() < by, "it never said no");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(process.exit_code().await, Some(0));
+}
+
 #[tokio::test]
 async fn a_word_given_to_either_process_holds_in_both_and_outlives_both() {
     let world = World::default();
--- a/standins/src/mysql.rs
+++ b/standins/src/mysql.rs
@@ -56,7 +56,11 @@
 
     /// A session, if there is one to be had.
     pub async fn try_connect_as(address: SocketAddr, user: &str) -> Option<Self> {
-        let mut stream = TcpStream::connect(address).await.ok()?;
+        Self::login(TcpStream::connect(address).await.ok()?, user).await
+    }
+
+    /// A session on a connection that stands, if there is one to be had.
+    pub async fn login(mut stream: TcpStream, user: &str) -> Option<Self> {
         // Before the greeting is read, as the protocol page allows.
         stream.write_all(&login_as(user)).await.ok()?;
         let mut client = Self { stream, id: 0 };
