Let the module hear of what another gateway has sent for the same key

A retry whose earlier try another front end has sent must stay in the group of engines that drop its repeats, and inside the window that began with that send.

Tests in tests/rules.rs, two zones.

--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -215,6 +215,7 @@
                 work: estimate_us.filter(|e| *e > 0.0).map(span),
                 memory_mb: want_mb.filter(|m| *m > 0.0),
                 repeated: again_by_client,
+                earlier: None,
             })),
             In::Accepted { handle, leg, .. } => known(instance, &handle)
                 .map(|request| Event::StreamBegan { request, attempt: AttemptNo(leg) }),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -67,6 +67,17 @@
     Cell,
 }
 
+impl KeyScope {
+    /// The group of engines that share the memory with this one; none where it isn't told.
+    pub fn group(self, engine: &EngineEntry) -> Option<u64> {
+        match self {
+            Self::All => Some(0),
+            Self::Zone => engine.zone.map(|z| z.0 as u64),
+            Self::Cell => engine.cell.map(|c| c.0),
+        }
+    }
+}
+
 /// One class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClassSettings {
@@ -351,6 +362,17 @@
     pub memory_mb: Option<f64>,
     /// The client has tried before.
     pub repeated: bool,
+    /// An attempt of an earlier try that may have run, where that is known.
+    pub earlier: Option<Earlier>,
+}
+
+/// An attempt that another gateway has sent, or this one before its restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Earlier {
+    /// The group of engines that drop its repeats; 0 where all do.
+    pub group: u64,
+    /// How long ago it was sent, at most.
+    pub ago: Duration,
 }
 
 impl Arrival {
@@ -366,6 +388,7 @@
             work: None,
             memory_mb: None,
             repeated: false,
+            earlier: None,
         }
     }
 }
@@ -473,6 +496,8 @@
     Part(f64),
     /// A client's request.
     Arrival(Arrival),
+    /// Others were told of the group that this request's attempt goes to: it is bound to that as if it had run.
+    Bound(RequestId),
     /// A stream has begun; the attempt belongs to the client now.
     StreamBegan {
         /// Which request.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -167,6 +167,7 @@
             Event::Part(part) => self.part(*part),
             Event::ListFailed => self.subscribe_at = asked.then_some(self.now + SECOND),
             Event::Arrival(arrival) => self.arrive(arrival, actions),
+            Event::Bound(request) => self.bound(*request),
             Event::StreamBegan { request, attempt } => {
                 let began = self.requests.get_mut(request).filter(|r| r.is_out(*attempt));
                 began.into_iter().for_each(|r| r.streaming = true);
@@ -230,6 +231,7 @@
             target: self.now + self.aim(arrival.class).min(patience) - self.exec(arrival),
             seq: self.seq,
             priority: 1,
+            may_have_run: arrival.earlier.map(|e| (Some(e.group), self.now - us(e.ago))),
             arrival: arrival.clone(),
             ..Request::default()
         };
@@ -554,13 +556,8 @@
             (Effect::Safe, _) | (_, None) => true,
             (Effect::Once, Some(_)) => false,
             (Effect::Keyed { scope, memory }, Some((first, sent))) => {
-                let group = |e: &EngineEntry| match scope {
-                    KeyScope::All => Some(0),
-                    KeyScope::Zone => e.zone.map(|z| z.0 as u64),
-                    KeyScope::Cell => e.cell.map(|c| c.0),
-                };
-                let first = self.engines.get(&first).and_then(|e| group(&e.entry));
-                let same = scope == KeyScope::All || first.is_some() && first == group(&engine.entry);
+                let same =
+                    scope == KeyScope::All || first.is_some() && first == scope.group(&engine.entry);
                 self.now - sent < us(memory) && same
             }
         };
@@ -765,7 +762,7 @@
 
     /// Could a further attempt be sent, what is out now counting as run?
     fn may_repeat(&self, request: &Request) -> bool {
-        let ran = request.may_have_run.or(request.out.as_ref().map(|o| (o.engine, o.sent)));
+        let ran = request.may_have_run.or(request.out.as_ref().map(|o| (None, o.sent)));
         let effect = match (self.settings.classes[request.arrival.class.0].effect, ran) {
             (Effect::Safe, _) | (_, None) => true,
             (Effect::Keyed { memory, .. }, Some((_, sent))) => self.now - sent < us(memory),
@@ -786,6 +783,23 @@
         })
     }
 
+    /// What an attempt that may have run binds its request to.
+    fn bound_by(&self, request: &Request, out: &Attempt) -> Option<(Option<u64>, i64)> {
+        let group = match self.settings.classes[request.arrival.class.0].effect {
+            Effect::Keyed { scope, .. } => self.engines.get(&out.engine).and_then(|e| scope.group(&e.entry)),
+            _ => None,
+        };
+        Some((group, out.sent))
+    }
+
+    fn bound(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let bound = request.out.as_ref().and_then(|out| self.bound_by(request, out));
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.may_have_run = request.may_have_run.or(bound);
+        }
+    }
+
     fn ended(&mut self, ended: &Ended, actions: &mut Vec<Action>) {
         let Ended { request: id, attempt, outcome, closed, bill, load } = *ended;
         let living = self.requests.get(&id).is_some_and(|r| r.is_out(attempt));
@@ -826,7 +840,7 @@
         if outcome == Outcome::Ok && !self.still {
             self.learn(&request, &out, bill);
         } else if !outcome.never_ran() {
-            request.may_have_run = request.may_have_run.or(Some((out.engine, out.sent)));
+            request.may_have_run = request.may_have_run.or(self.bound_by(&request, &out));
         }
         let rests = self.now + us(self.settings.rules.order_settle);
         let key = request.arrival.key.filter(|_| outcome.may_still_run()).and_then(|k| self.keys.get_mut(&k));
--- a/src/state.rs
+++ b/src/state.rs
@@ -104,8 +104,8 @@
     pub(crate) attempts: u32,
     pub(crate) out: Option<Attempt>,
     pub(crate) streaming: bool,
-    /// Engine and time of the first attempt that may have run.
-    pub(crate) may_have_run: Option<(EngineId, i64)>,
+    /// Group, where it is known, and time of the first attempt that may have run.
+    pub(crate) may_have_run: Option<(Option<u64>, i64)>,
     pub(crate) last_engine: Option<EngineId>,
     /// Projected time of an attempt that was given up as a bad plan.
     pub(crate) given_up_at: Option<f64>,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -194,3 +194,51 @@
     assert_eq!(rig.sent(id).len(), 3);
     assert!(rig.refused(id));
 }
+
+/// Engines 0 and 1 in a zone each, and a class whose repeats only a zone drops.
+fn two_zones() -> Rig {
+    let mut settings = settings();
+    settings.classes[0].effect = Effect::Keyed { scope: KeyScope::Zone, memory: ms(1000) };
+    let mut rig = Rig::new(settings, 0);
+    let entry = |id| EngineEntry { zone: Some(ZoneId(id as usize)), ..EngineEntry::new(EngineId(id)) };
+    rig.step(&[Event::Engines { scope: ListScope::Whole, entries: vec![entry(0), entry(1)] }]);
+    rig
+}
+
+#[test]
+fn what_another_gateway_has_sent_binds_a_request_to_its_group_and_its_time() {
+    for group in [0, 1] {
+        let mut rig = two_zones();
+        for _ in 0..8 {
+            let earlier = Some(Earlier { group, ago: ms(300) });
+            let arrival = Arrival { earlier, ..rig.arrival(0) };
+            let id = arrival.request;
+            rig.step(&[Event::Arrival(arrival)]);
+            assert_eq!(rig.sent(id), [EngineId(group as u32)]);
+            rig.end(id, 0, Outcome::Ok);
+        }
+        // Engines forget a second after the other's send, not after ours.
+        let earlier = Some(Earlier { group, ago: ms(990) });
+        let arrival = Arrival { earlier, ..rig.arrival(0) };
+        let id = arrival.request;
+        rig.step(&[Event::Arrival(arrival)]);
+        rig.pass(ms(15));
+        rig.end(id, 0, Outcome::Full);
+        rig.pass(ms(100));
+        assert_eq!(rig.sent(id).len(), 1);
+        assert!(rig.failed(id) && !rig.refused(id), "a repeat elsewhere is not harmless");
+    }
+}
+
+#[test]
+fn a_request_whose_group_others_were_told_of_stays_there_though_nothing_ran() {
+    let mut rig = two_zones();
+    let id = rig.arrive(0);
+    let first = rig.sent(id)[0];
+    rig.step(&[Event::Bound(id)]);
+    rig.end(id, 0, Outcome::Full);
+    rig.pass(ms(500));
+    assert!(rig.sent(id).iter().all(|e| *e == first), "{:?}", rig.sent(id));
+    rig.pass(ms(3000));
+    assert!(rig.failed(id));
+}
