Share the keys of requests in a Redis: a retry elsewhere gets its answer or its group

A client's retry through another front end, or after a restart, met a module that knew nothing of the first send: where only a zone or a cell drops repeats it could be posted twice, and an answer lost on its way was worked for again.

Change: store/link.rs carries out what reedwalk-store decides (three scripts, a bounded line, leases renewed, a count of its own by which a front end sees that writes were lost); broker/keys.rs holds which request is how far; the first attempt waits there until its group is written. On with share-keys in a store's block of an operator's file, off on the platform.

The stand-in knows the three scripts by digest and does them by its own code.

--- a/gateway/src/broker/message.rs
+++ b/gateway/src/broker/message.rs
@@ -4,6 +4,7 @@
 use crate::engine::Gate;
 use bytes::Bytes;
 use reedwalk_core::{Bill, ClassId, EngineEntry, EngineId, LoadReport, Note, Outcome, RequestId};
+use reedwalk_store::keyed::{Claimed, Sent};
 use std::any::Any;
 use std::fmt;
 use std::net::SocketAddr;
@@ -201,6 +202,10 @@
     News(AttemptKey, News),
     /// Whether a request's team may still spend.
     Verdict(RequestId, Verdict),
+    /// What the shared store knows of a request's key, and whether a word that nothing was sent may be believed.
+    Claimed(RequestId, Option<(Claimed, bool)>),
+    /// Whether an attempt's mark was written in the shared store.
+    Marked(AttemptKey, Sent, Option<bool>),
 }
 
 impl<L: EngineLinks + ?Sized> EngineLinks for Box<L> {
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -4,6 +4,7 @@
 //! final answer and never a second.
 
 mod desk;
+mod keys;
 mod message;
 mod roll;
 
@@ -13,13 +14,16 @@
 
 use crate::contracts::{Contracts, Verdict};
 use crate::figures::Figures;
+use crate::store::link::Link;
 use bytes::Bytes;
+use keys::Keys;
 use reedwalk_core::{
     Action, Arrival, AttemptNo, Ended, EngineId, EngineState, Event, Gateway, GroupId, ListScope, Outcome,
     RequestId, Time,
 };
 use reedwalk_membership::Part;
 use reedwalk_settings::Deployment;
+use reedwalk_store::keyed::{Claimed, Earlier, Sent, Step};
 use slog::{Logger, debug, info, warn};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
@@ -84,6 +88,8 @@
     pub figures: Arc<Figures>,
     /// This process's part of the front end.
     pub part: watch::Receiver<Part>,
+    /// The store in which front ends share the keys of requests, if they do.
+    pub keys: Option<Arc<Link>>,
 }
 
 /// The one owner of the decision module.
@@ -94,6 +100,7 @@
     links: L,
     contracts: Option<Arc<Contracts>>,
     queue: mpsc::Sender<Input>,
+    keys: Option<Keys>,
     log: Logger,
     open: HashMap<RequestId, Open>,
     /// Ids of what is open: an engine would take a second request of that id for the first.
@@ -126,9 +133,11 @@
     ) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let now = Instant::now();
+        let keys = shared.keys.clone().map(|link| Keys::new(link, deployment, queue.clone()));
         Self {
             gateway,
             links,
+            keys,
             shared,
             share: 1.0,
             log,
@@ -186,6 +195,7 @@
             self.links.place(one.entry.engine, (!gone).then_some((one.address, gate)));
             entries.push(one.entry);
         }
+        self.keys.iter_mut().for_each(|k| k.engines(&entries));
         self.pending.push(Event::Engines { scope: ListScope::Changes, entries });
     }
 
@@ -207,7 +217,9 @@
         match input {
             Input::Arrival(id, ask, reply) => self.arrive(id, *ask, reply, now),
             Input::Left(id) => self.left(id),
-            Input::Verdict(id, Verdict::Admitted) => self.admit(id, now),
+            Input::Verdict(id, Verdict::Admitted) => self.look_up(id, now),
+            Input::Claimed(id, found) => self.claimed(id, found, now),
+            Input::Marked(key, sent, written) => self.marked(key, sent, written, now),
             Input::Verdict(id, Verdict::Spent(after)) => {
                 self.answer(id, Answer::Refused { why: Refusal::Budget, retry_after: Some(after) });
                 self.settle(id);
@@ -260,12 +272,65 @@
                     let _ = queue.send(Input::Verdict(id, verdict)).await;
                 });
             }
-            _ => self.admit(id, now),
+            _ => self.look_up(id, now),
         }
     }
 
+    /// A request that may go on, as far as its team is concerned: what does the shared store know of its key?
+    fn look_up(&mut self, id: RequestId, now: Instant) {
+        let Some(ask) = self.open.get(&id).filter(|o| o.reply.is_some()).map(|o| &o.ask) else { return };
+        let step = self.keys.as_mut().map_or(Step::Go(None), |k| k.arrive(id, ask, now));
+        self.go(id, step, now);
+    }
+
+    fn claimed(&mut self, id: RequestId, found: Option<(Claimed, bool)>, now: Instant) {
+        let step = self.keys.as_mut().and_then(|k| k.claimed(id, found));
+        step.into_iter().for_each(|step| self.go(id, step, now));
+    }
+
+    fn go(&mut self, id: RequestId, step: Step, now: Instant) {
+        let answer = match step {
+            Step::Claim => return,
+            Step::Go(earlier) => return self.admit(id, earlier, now),
+            Step::Answer(kept) => keys::unpack(&kept).map_or(Answer::Failed(Failure::Engine), Answer::Served),
+            Step::Refuse(after) => Answer::Refused { why: Refusal::Busy, retry_after: Some(after) },
+            Step::Fail => Answer::Failed(Failure::Engine),
+        };
+        self.answer(id, answer);
+        self.settle(id);
+    }
+
+    /// An attempt's mark was written in the shared store, or not.
+    fn marked(&mut self, key: AttemptKey, sent: Sent, written: Option<bool>, now: Instant) {
+        let Some(request) = self.attempts.get(&key).map(|o| o.request) else { return };
+        let order = self.keys.as_mut().and_then(|k| k.marked(request, key, sent, written));
+        match order {
+            Some(order) => {
+                if written == Some(true) {
+                    self.pending.push(Event::Bound(request));
+                }
+                if !self.links.start(order, now) {
+                    self.ended(key, Outcome::Moot.into());
+                }
+            }
+            None => {
+                self.ended(key, Outcome::Moot.into());
+                self.stop(request);
+            }
+        }
+    }
+
+    /// Ends a request that may send nothing more: refused where nothing of it can have run.
+    fn stop(&mut self, id: RequestId) {
+        let harmless = self.keys.as_ref().is_some_and(|k| k.harmless(id));
+        let refused = Answer::Refused { why: Refusal::Busy, retry_after: self.retry_after };
+        self.answer(id, if harmless { refused } else { Answer::Failed(Failure::Engine) });
+        self.pending.push(Event::Left(id));
+        self.settle(id);
+    }
+
     /// Tells the module of a request that may go on.
-    fn admit(&mut self, id: RequestId, now: Instant) {
+    fn admit(&mut self, id: RequestId, earlier: Option<Earlier>, now: Instant) {
         let Some(ask) = self.open.get(&id).filter(|o| o.reply.is_some()).map(|o| &o.ask) else { return };
         self.pending.push(Event::Arrival(Arrival {
             request: id,
@@ -277,12 +342,14 @@
             work: ask.work,
             memory_mb: ask.memory_mb,
             repeated: ask.repeated,
+            earlier: earlier.map(|e| reedwalk_core::Earlier { group: e.group, ago: e.ago }),
         }));
     }
 
     fn left(&mut self, id: RequestId) {
         if self.open.get_mut(&id).is_some_and(|o| o.reply.take().is_some()) {
             self.tally.left += 1;
+            self.keys.iter_mut().for_each(|k| k.over(id, None));
             self.pending.push(Event::Left(id));
             self.settle(id);
         }
@@ -297,6 +364,7 @@
             open.out.retain(|o| o.1 != key);
             closed = open.reply.is_none();
         }
+        self.keys.iter_mut().for_each(|k| k.ended(out.request, key, !end.outcome.never_ran()));
         if let (Outcome::Ok, Some(rows)) = (end.outcome, end.rows) {
             self.answer(out.request, Answer::Served(rows));
             closed = true;
@@ -321,6 +389,8 @@
             Answer::Refused { .. } => self.tally.refused += 1,
             Answer::Failed(_) => self.tally.failed += 1,
         }
+        let rows = if let Answer::Served(rows) = &answer { Some(rows) } else { None };
+        self.keys.iter_mut().for_each(|k| k.over(id, rows));
         // A client that has just left takes no answer; nothing is owed to it.
         let _ = reply.send(answer);
     }
@@ -408,7 +478,10 @@
             Action::Fail { request } => {
                 let late = self.open.get(&request).is_some_and(|o| o.ask.deadline <= now);
                 let why = if late { Failure::Deadline } else { Failure::Engine };
-                self.answer(request, Answer::Failed(why));
+                // The module holds what is bound for what may have run.
+                let harmless = !late && self.keys.as_ref().is_some_and(|k| k.harmless(request));
+                let refused = Answer::Refused { why: Refusal::Busy, retry_after: self.retry_after };
+                self.answer(request, if harmless { refused } else { Answer::Failed(why) });
                 self.settle(request);
             }
             Action::Terms { request, memory_mb, priority } => {
@@ -455,9 +528,21 @@
             update: open.ask.update,
             statement: open.ask.statement.clone(),
         };
-        if !self.links.start(order, now) {
+        let order = match &mut self.keys {
+            Some(keys) => match keys.send(id, order, now) {
+                Some(order) => order,
+                None => {
+                    self.stop(id);
+                    return Err(number);
+                }
+            },
+            None => Some(order),
+        };
+        if order.is_some_and(|order| !self.links.start(order, now)) {
+            self.keys.iter_mut().for_each(|k| k.ended(id, key, false));
             return Err(number);
         }
+        let Some(open) = self.open.get_mut(&id) else { return Err(number) };
         open.out.push((number, key));
         self.attempts.insert(key, Out { request: id, number, engine, deadline });
         self.due.insert((deadline, Due::Attempt(key)));
--- a/gateway/src/cli.rs
+++ b/gateway/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::config::{self, Config, ConfigError, Surroundings};
 use crate::console;
-use crate::operator::Operator;
+use crate::operator::{Operator, Store};
 use crate::serve;
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use std::ffi::OsString;
@@ -90,6 +90,13 @@
                 "contracts: {}",
                 if contracts.is_some() { format!("{teams} teams") } else { "off".into() }
             );
+            match (&operator.store, &operator.shared_keys) {
+                (Store::Memory, _) => println!("store: in memory"),
+                (Store::Redis(_), None) => println!("store: Redis, budgets only"),
+                (Store::Redis(_), Some(terms)) => {
+                    println!("store: Redis, keys of requests shared, {terms:?}")
+                }
+            }
             match operator.flight {
                 Some(flight) => {
                     println!("flight: listens on {}, engines {:?}", flight.listen, operator.engines)
--- a/gateway/src/operator/mod.rs
+++ b/gateway/src/operator/mod.rs
@@ -10,6 +10,7 @@
 use crate::config::Limits;
 use crate::contracts::Contract;
 use crate::cores::DESCRIPTORS_A_CORE;
+use crate::store::link::Terms;
 use std::net::SocketAddr;
 
 /// The wire on which the engines are reached.
@@ -63,6 +64,8 @@
     pub contracts: Option<Vec<Contract>>,
     /// Where budgets are counted.
     pub store: Store,
+    /// The keys of requests are shared there, on these terms; off without it.
+    pub shared_keys: Option<Terms>,
 }
 
 impl Operator {
--- a/gateway/src/operator/read.rs
+++ b/gateway/src/operator/read.rs
@@ -2,11 +2,13 @@
 
 use super::{EngineWire, FLIGHT_CONNECTIONS, FLIGHT_MESSAGE, FlightFront, Operator, Store, units};
 use crate::contracts::Contract;
+use crate::store::link::Terms;
 use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
 use reedwalk_cores::CORES_MOST;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// What is wrong with a file, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -166,17 +168,55 @@
         Ok(Contract { team: team.to_owned(), classes, budget, window_ms, cost })
     }
 
-    fn store(&self, node: &KdlNode) -> Result<Store, Fault> {
-        let fault = || self.at(node, "'store' takes \"memory\", or redis=\"redis://HOST:PORT\"");
+    /// Where budgets are counted and, where its block says so, on which terms the keys of requests are shared.
+    fn store(&self, node: &KdlNode) -> Result<(Store, Option<Terms>), Fault> {
+        let fault = || self.at(node, "'store' takes \"memory\", or redis=\"redis://HOST:PORT\" and a block");
         match node.entries() {
-            [entry] if node.children().is_none() => match (entry.name().map(|n| n.value()), entry.value()) {
-                (None, KdlValue::String(kind)) if kind == "memory" => Ok(Store::Memory),
-                (Some("redis"), KdlValue::String(url)) => Ok(Store::Redis(url.clone())),
+            [entry] => match (entry.name().map(|n| n.value()), entry.value(), node.children()) {
+                (None, KdlValue::String(kind), None) if kind == "memory" => Ok((Store::Memory, None)),
+                (Some("redis"), KdlValue::String(url), block) => {
+                    let keys = block.map(|b| self.shared_keys(b)).transpose()?.flatten();
+                    Ok((Store::Redis(url.clone()), keys))
+                }
                 _ => Err(fault()),
             },
             _ => Err(fault()),
         }
     }
+
+    fn shared_keys(&self, block: &KdlDocument) -> Result<Option<Terms>, Fault> {
+        let (mut terms, mut on) = (Terms::default(), false);
+        for node in self.nodes(block, &["share-keys", "namespace", "clocks-differ", "wait"], &[])? {
+            let span = |least: u64, most: u64| {
+                let text = self.text(node, "a duration such as \"25ms\"")?;
+                let span = units::duration(text).ok();
+                let (least, most) = (Duration::from_millis(least), Duration::from_millis(most));
+                let span = span.filter(|s| (least..=most).contains(s));
+                span.ok_or_else(|| {
+                    let name = node.name().value();
+                    let expected = format!("expected a duration from {least:?} to {most:?}");
+                    self.at(node, format!("'{name}' is \"{text}\"; {expected}"))
+                })
+            };
+            match node.name().value() {
+                "share-keys" if node.entries().is_empty() && node.children().is_none() => on = true,
+                "share-keys" => return Err(self.at(node, "'share-keys' takes nothing")),
+                "clocks-differ" => terms.clocks_differ = span(1, 10_000)?,
+                "wait" => terms.wait = span(1, 1_000)?,
+                _ => {
+                    let name = self.text(node, "a name")?;
+                    let sound = (1..=64).contains(&name.len())
+                        && name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b));
+                    if !sound {
+                        let expected = "1 to 64 letters, digits, '-', '_' or '.'";
+                        return Err(self.at(node, format!("'namespace' is \"{name}\"; expected {expected}")));
+                    }
+                    terms.namespace = name.to_owned();
+                }
+            }
+        }
+        Ok(on.then_some(terms))
+    }
 }
 
 /// Reads the text of an operator's file.
@@ -212,7 +252,7 @@
                 };
             }
             "contract" => operator.contracts.get_or_insert_default().push(lines.contract(node)?),
-            _ => operator.store = lines.store(node)?,
+            _ => (operator.store, operator.shared_keys) = lines.store(node)?,
         }
     }
     Ok(operator)
@@ -259,6 +299,10 @@
             ("contract \"a\" {\n  budget 6 window=\"60s\"\n}", 1, "lacks 'classes'"),
             ("engines \"http\"", 1, "\"resp\" or \"flight-sql\""),
             ("store \"disk\"", 1, "\"memory\""),
+            ("store redis=\"redis://h\" {\n share\n}", 2, "unknown setting 'share'; expected share-keys"),
+            ("store redis=\"redis://h\" {\n wait \"0ms\"\n}", 2, "from 1ms to 1s"),
+            ("store redis=\"redis://h\" {\n namespace \"a b\"\n}", 2, "1 to 64 letters"),
+            ("store \"memory\" {\n share-keys\n}", 1, "redis="),
         ];
         for (text, line, what) in cases {
             let (at, said) = fault(text);
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -15,14 +15,16 @@
 use crate::names::{self, Source, list::Book};
 use crate::operator::{EngineWire, Fault, Operator, Store};
 use crate::shutdown::{Asked, OVERLAP, Phase, Signals};
+use crate::store::link::Link;
 use crate::store::{Redis, StoreError};
 use crate::succession::{MAKES_ROOM, Succession};
-use reedwalk_core::Gateway;
+use reedwalk_core::{Effect, Gateway};
 use reedwalk_membership::{Part, Stage};
 use reedwalk_settings::Deployment;
 use slog::{Logger, error, info, o, warn};
 use std::fmt;
 use std::future::Future;
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -169,7 +171,12 @@
         tokio::spawn(succession.watch(stages));
     }
     let figures = Arc::new(Figures::new(&sockets.classes));
-    let shared = Shared { roll: Roll::default(), figures: figures.clone(), part: part.clone() };
+    let window = deployment.core.classes.iter().filter_map(|c| match c.effect {
+        Effect::Keyed { memory, .. } => Some(memory),
+        _ => None,
+    });
+    let keys = shared_keys(&operator, window.max().unwrap_or_default(), log)?;
+    let shared = Shared { roll: Roll::default(), figures: figures.clone(), part: part.clone(), keys };
     let keep = kept.as_ref().map(|(folder, stem)| Keep::new(folder, stem));
     let members_log = log.new(o!("part" => "members"));
     let gates = Gates::new(deployment.core.rules.drain_grace);
@@ -276,6 +283,18 @@
     })
 }
 
+/// The link to the store in which the keys of requests are shared, if they are.
+fn shared_keys(operator: &Operator, window: Duration, log: &Logger) -> Result<Option<Arc<Link>>, ServeError> {
+    let (Store::Redis(url), Some(terms)) = (&operator.store, &operator.shared_keys) else { return Ok(None) };
+    // Drawn by the system for each process.
+    let front = RandomState::new().build_hasher().finish();
+    let log = log.new(o!("part" => "store"));
+    let link = Link::new(url, terms.clone(), front, window, log).map_err(|e| ServeError::Store(e.into()))?;
+    let link = Arc::new(link);
+    tokio::spawn(link.clone().run());
+    Ok(Some(link))
+}
+
 /// The contracts of an operator's file; none, and nothing is checked.
 ///
 /// # Errors
--- a/gateway/src/store/mod.rs
+++ b/gateway/src/store/mod.rs
@@ -1,9 +1,11 @@
 //! Where budgets are counted: in this process, or in a Redis that all front ends share.
 
+pub mod link;
 mod memory;
 mod redis;
 
 pub use memory::Memory;
+pub(crate) use memory::unix_ms;
 pub use redis::Redis;
 
 use std::fmt;
--- a/gateway/tests/operation.rs
+++ b/gateway/tests/operation.rs
@@ -5,15 +5,15 @@
 use reedwalk_gateway::config::{Config, Limits};
 use reedwalk_gateway::operator::{EngineWire, Operator};
 use serde_json::json;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use support::console::{call, figures, send, shows, yes};
 use support::mysql::{Client, fields};
+use support::process::Process;
 use support::{
     Ended, World, both_fronts, config, flight, folder, gateway, known, names, resp, settings, until,
 };
@@ -31,20 +31,6 @@
     fields("lookup", 3000, None, &format!("SELECT {n}"))
 }
 
-/// One process of a front end, as the platform starts it; ended by its id when a test fails halfway.
-struct Process {
-    child: Child,
-    console: SocketAddr,
-    log: Arc<Mutex<Vec<String>>>,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// A front end whose processes share a folder and a clients' address.
 struct Site {
     folder: PathBuf,
@@ -69,29 +55,7 @@
     }
 
     fn start(&self) -> Process {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_reedwalk"))
-            .arg("serve")
-            .arg("--config")
-            .arg(&self.config)
-            .env("TMPDIR", &self.folder)
-            .env_remove("GW_LISTEN")
-            .env_remove("GW_CONSOLE")
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        let log = Arc::new(Mutex::new(Vec::new()));
-        let line = lines
-            .by_ref()
-            .map(Result::unwrap)
-            .inspect(|l| log.lock().unwrap().push(l.clone()))
-            .find(|l| l.contains("serving"))
-            .expect("it did not start");
-        let said = log.clone();
-        std::thread::spawn(move || lines.for_each(|l| said.lock().unwrap().push(l.unwrap())));
-        let console =
-            line.split("console: Some(").nth(1).unwrap().split(')').next().unwrap().parse().unwrap();
-        Process { child, console, log }
+        Process::start(&self.config, &self.folder, None)
     }
 
     /// The file in which the operators' words are kept.
@@ -100,28 +64,6 @@
     }
 }
 
-impl Process {
-    fn signal(&self, name: &str) {
-        let status = Command::new("kill").arg(name).arg(self.child.id().to_string()).status().unwrap();
-        assert!(status.success());
-    }
-
-    fn said(&self, what: &str) -> usize {
-        self.log.lock().unwrap().iter().filter(|l| l.contains(what)).count()
-    }
-
-    async fn exit_code(&mut self) -> Option<i32> {
-        let by = Instant::now() + Duration::from_secs(20);
-        loop {
-            if let Some(status) = self.child.try_wait().unwrap() {
-                return status.code();
-            }
-            assert!(Instant::now() < by, "it did not end");
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    }
-}
-
 async fn engines(world: &World) -> [SocketAddr; 2] {
     [resp::engine("a", world.clone()).await, resp::engine("b", world.clone()).await]
 }
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test takes what it needs of this.
 #![allow(dead_code, unused_imports)]
 
+pub mod process;
+
 pub use reedwalk_standins::config::{known, settings};
 pub use reedwalk_standins::{Ended, World, console, flight, mysql, names, redis, resp, until};
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -556,8 +556,7 @@
             (Effect::Safe, _) | (_, None) => true,
             (Effect::Once, Some(_)) => false,
             (Effect::Keyed { scope, memory }, Some((first, sent))) => {
-                let same =
-                    scope == KeyScope::All || first.is_some() && first == scope.group(&engine.entry);
+                let same = scope == KeyScope::All || first.is_some() && first == scope.group(&engine.entry);
                 self.now - sent < us(memory) && same
             }
         };
--- a/standins/src/redis.rs
+++ b/standins/src/redis.rs
@@ -7,7 +7,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -57,7 +57,11 @@
     next: VecDeque<Option<Trouble>>,
     /// What goes wrong with all that come after those.
     always: Option<Trouble>,
+    /// What goes wrong with commands that hold this word.
+    with: Option<(String, Trouble)>,
     seen: Vec<(Instant, Vec<String>)>,
+    /// Digests of the scripts that were loaded.
+    loaded: BTreeSet<String>,
 }
 
 /// The stand-in; copies share one store.
@@ -69,6 +73,17 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
+/// The scripts that it knows, by digest: what they do is written here anew, after what their first line names.
+const SCRIPTS: [(&str, &str); 3] = [
+    ("36fa610f0a28cb6e98f5589437415072c276dd5c", "-- reedwalk claim 1\n"),
+    ("223f3d5a92fdb9d7d97aab17273355904d535af0", "-- reedwalk write 1\n"),
+    ("5d798f4c6ae70db3c14699f8661aba01019a2b0d", "-- reedwalk renew 1\n"),
+];
+
+fn millis(word: &[u8]) -> u64 {
+    std::str::from_utf8(word).unwrap().parse().unwrap()
+}
+
 const WRONG_TYPE: &str = "-WRONGTYPE Operation against a key holding the wrong kind of value\r\n";
 const NO_NUMBER: &str = "-ERR value is not an integer or out of range\r\n";
 
@@ -151,10 +166,112 @@
                 None if name == "HGET" => bulk(None),
                 None => array(Vec::new()),
             },
+            ("SCRIPT", 3) => {
+                let known = SCRIPTS.iter().find(|s| words[2].starts_with(s.1.as_bytes()));
+                let Some((digest, _)) = known else {
+                    return "-ERR not a script that is known here\r\n".into();
+                };
+                self.loaded.insert((*digest).to_owned());
+                bulk(Some(digest.as_bytes()))
+            }
+            ("EVALSHA", 3..) => {
+                let digest = String::from_utf8_lossy(&words[1]).into_owned();
+                if !self.loaded.contains(&digest) {
+                    return "-NOSCRIPT No matching script. Please use EVAL.\r\n".into();
+                }
+                let keys = whole(2).unwrap_or_default().clamp(0, words.len() as i64 - 3) as usize;
+                let (keys, args) = words[3..].split_at(keys);
+                match SCRIPTS.iter().position(|s| s.0 == digest) {
+                    Some(0) => self.claim(keys, args, now),
+                    Some(1) => self.write(keys, args, now),
+                    _ => self.renew(keys, args, now),
+                }
+            }
             _ => format!("-ERR unknown command or wrong number of arguments for '{name}'\r\n").into_bytes(),
         }
     }
 
+    fn fields(&mut self, key: &Bytes) -> Option<&mut Entry> {
+        self.contents.get_mut(&key[..]).filter(|e| matches!(e.value, Value::Hash(_)))
+    }
+
+    fn field(&mut self, key: &Bytes, field: &str) -> Option<Vec<u8>> {
+        match &self.fields(key)?.value {
+            Value::Hash(fields) => fields.get(field.as_bytes()).cloned(),
+            Value::Text(_) => None,
+        }
+    }
+
+    fn put(&mut self, key: &Bytes, field: &str, value: &[u8]) {
+        if let Some(Entry { value: Value::Hash(fields), .. }) = self.fields(key) {
+            fields.insert(field.into(), value.into());
+        }
+    }
+
+    /// As the program's script says: takes a key that nobody works on.
+    fn claim(&mut self, keys: &[Bytes], args: &[Bytes], now: u64) -> Vec<u8> {
+        let [stage, holder, value] = ["s", "h", "v"].map(|f| self.field(&keys[0], f));
+        let lease = self.contents.get(&keys[1][..]).and_then(|e| e.expires_ms).map_or(0, |at| at - now);
+        let count = match self.contents.get(&keys[2][..]).map(|e| &e.value) {
+            Some(Value::Text(text)) => Some(text.clone()),
+            _ => None,
+        };
+        let free = stage.as_deref() != Some(b"d") && (holder.is_none_or(|h| h.is_empty()) || lease == 0);
+        if free {
+            let next = match stage.as_deref() {
+                None => args[4].to_vec(),
+                Some(b"n") => b"c".to_vec(),
+                Some(stage) => stage.to_vec(),
+            };
+            let empty = || Entry { value: Value::Hash(BTreeMap::new()), expires_ms: None };
+            self.contents.entry(keys[0].to_vec()).or_insert_with(empty);
+            self.put(&keys[0], "h", &args[0]);
+            self.put(&keys[0], "s", &next);
+            let kept = millis(&args[if next == b"s" { 3 } else { 2 }]);
+            self.fields(&keys[0]).into_iter().for_each(|e| e.expires_ms = Some(now + kept));
+            self.lease(keys, args, now);
+        }
+        let (taken, left) = if free { (1, 0) } else { (0, lease as i64) };
+        let found = [stage, value, count].map(|v| bulk(v.as_deref()));
+        array([vec![number(taken), number(left)], found.to_vec()].concat())
+    }
+
+    fn lease(&mut self, keys: &[Bytes], args: &[Bytes], now: u64) {
+        let expires_ms = Some(now + millis(&args[1]));
+        let entry = Entry { value: Value::Text(args[0].to_vec()), expires_ms };
+        self.contents.insert(keys[1].to_vec(), entry);
+    }
+
+    /// Writes a stage and a value as the key's holder.
+    fn write(&mut self, keys: &[Bytes], args: &[Bytes], now: u64) -> Vec<u8> {
+        if self.field(&keys[0], "h").as_deref() != Some(&args[0][..]) {
+            return number(0);
+        }
+        for (field, value) in [("s", &args[1]), ("v", &args[2])] {
+            if !value.is_empty() {
+                self.put(&keys[0], field, value);
+            }
+        }
+        if millis(&args[3]) > 0 {
+            let expires_ms = Some(now + millis(&args[3]));
+            self.fields(&keys[0]).into_iter().for_each(|e| e.expires_ms = expires_ms);
+        }
+        if &args[4][..] == b"1" {
+            self.put(&keys[0], "h", b"");
+            self.contents.remove(&keys[1][..]);
+        }
+        number(1)
+    }
+
+    /// Renews the lease as the key's holder.
+    fn renew(&mut self, keys: &[Bytes], args: &[Bytes], now: u64) -> Vec<u8> {
+        let held = self.field(&keys[0], "h").as_deref() == Some(&args[0][..]);
+        if held {
+            self.lease(keys, args, now);
+        }
+        number(i64::from(held))
+    }
+
     /// SET with NX or XX, and PX or PXAT.
     fn set(&mut self, key: Vec<u8>, words: &[Bytes], now: u64) -> Vec<u8> {
         let (mut expires_ms, mut may) = (None, true);
@@ -200,6 +317,11 @@
         self.state().always = trouble;
     }
 
+    /// From here on all commands that hold this word meet this.
+    pub fn trouble_with(&self, word: &str, trouble: Trouble) {
+        self.state().with = Some((word.to_owned(), trouble));
+    }
+
     /// The next commands meet these, one each.
     pub fn script(&self, next: impl IntoIterator<Item = Option<Trouble>>) {
         self.state().next.extend(next);
@@ -233,7 +355,9 @@
         let mut state = self.state();
         let text = words.iter().map(|w| String::from_utf8_lossy(w).into_owned()).collect();
         state.seen.push((Instant::now(), text));
-        state.next.pop_front().unwrap_or(state.always)
+        let with =
+            state.with.as_ref().filter(|w| words.iter().any(|word| word == w.0.as_bytes())).map(|w| w.1);
+        with.or_else(|| state.next.pop_front().unwrap_or(state.always))
     }
 
     async fn serve(self, mut stream: TcpStream) {
--- a/standins/src/script.rs
+++ b/standins/src/script.rs
@@ -38,6 +38,8 @@
     pub attempts: HashMap<String, u32>,
     /// Keys that the engines remember, and the statements that had an effect.
     pub keys: HashSet<String>,
+    /// Each engine remembers the keys that it has seen itself, and no others.
+    pub apart: bool,
     pub effects: Vec<String>,
     pub sends: Vec<(String, Instant, String)>,
     pub given_up: Vec<String>,
@@ -74,7 +76,9 @@
         };
         // As the engines do: a repeat of a key has no second effect; what bears no key always has one.
         let writes = statement.starts_with("INSERT") || statement.starts_with("LOSE");
-        let fresh = key.is_none_or(|k| script.keys.insert(k.to_owned()));
+        let remembered = |k: &str| if script.apart { format!("{engine}/{k}") } else { k.to_owned() };
+        let key = key.map(remembered);
+        let fresh = key.is_none_or(|k| script.keys.insert(k));
         if writes && fresh && matches!(act, Act::Serve | Act::LoseAck) {
             script.effects.push(statement.to_owned());
         }
--- a/store/src/codec.rs
+++ b/store/src/codec.rs
@@ -7,8 +7,8 @@
 
 /// The version that this program writes, and the only one that it reads.
 pub const SCHEMA: u8 = 1;
-/// Bytes of a value at most.
-pub const VALUE_MOST: usize = 16 * 1024;
+/// Bytes of a value at most: a result of 48,000 bytes of text and what stands around its cells.
+pub const VALUE_MOST: usize = 64 * 1024;
 const HEAD: usize = 5;
 
 /// Why bytes are no value.
--- a/store/src/keyed.rs
+++ b/store/src/keyed.rs
@@ -234,6 +234,10 @@
             self.phase = Phase::Over;
             return (Step::Answer(answer), None);
         }
+        if !taken && prior == Prior::Unreadable && self.scope == Scope::All {
+            self.phase = Phase::Alone;
+            return (Step::Go(None), None);
+        }
         if !taken {
             return (self.refuse(lease_left), None);
         }
@@ -271,7 +275,7 @@
             self.phase = Phase::Over;
             return Step::Fail;
         }
-        self.phase = Phase::Held { doubted: false, published: Some(sent) };
+        (self.phase, self.ran) = (Phase::Held { doubted: false, published: Some(sent) }, true);
         Step::Go((!ahead).then_some(Earlier { group: sent.group, ago }))
     }
 
@@ -304,8 +308,7 @@
                 Send::Now
             }
             (_, Scope::Group) => {
-                // It was not sent, and where the key is another's now it never will be.
-                self.out -= 1;
+                // It is not sent, and where the key is another's now it never will be; its end is still to be told.
                 if written == Some(false) {
                     self.phase = Phase::Over;
                 }
@@ -320,7 +323,7 @@
         self.ran |= ran;
     }
 
-    /// May something of ours have run?
+    /// May something of it have run, ours or of an earlier try?
     pub fn may_have_run(&self) -> bool {
         self.ran || self.out > 0
     }
