Lease budgets from the shared store many units at a time, and pay back what never ran

Every request of a contract asked Redis once, up to 50 ms, and a window in which it failed saw up to twice the budget; what was refused stayed paid.

Change: store/src/lease.rs (pure) decides what is paid from a lease, what to lease ahead, what a front end grants by itself (half of its even part less its leases) and what goes back; contracts.rs carries it out over the one link, whose script takes what is left of the wanted units. The old store trait and its two kinds are gone. Refused requests are paid back.

Tests: any order of spends, lost answers, refunds and idle spells (256 cases) stays under one and a half budgets; units returned to others, a store that fails midway, a frozen one, what never ran is not paid for.

--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -12,7 +12,7 @@
 pub use message::*;
 pub use roll::Roll;
 
-use crate::contracts::{Contracts, Verdict};
+use crate::contracts::{Contracts, Paid, Verdict};
 use crate::figures::Figures;
 use crate::store::link::Link;
 use bytes::Bytes;
@@ -43,6 +43,8 @@
 struct Open {
     ask: Ask,
     reply: Option<oneshot::Sender<Answer>>,
+    /// What its team has paid for it.
+    paid: Option<Paid>,
     attempts: u32,
     out: Vec<(AttemptNo, AttemptKey)>,
     memory_mb: Option<f64>,
@@ -217,7 +219,13 @@
         match input {
             Input::Arrival(id, ask, reply) => self.arrive(id, *ask, reply, now),
             Input::Left(id) => self.left(id),
-            Input::Verdict(id, Verdict::Admitted) => self.look_up(id, now),
+            Input::Verdict(id, Verdict::Admitted(paid)) => {
+                match self.open.get_mut(&id).filter(|o| o.reply.is_some()) {
+                    Some(open) => open.paid = Some(paid),
+                    None => self.refund(paid),
+                }
+                self.look_up(id, now);
+            }
             Input::Claimed(id, found) => self.claimed(id, found, now),
             Input::Marked(key, sent, written) => self.marked(key, sent, written, now),
             Input::Verdict(id, Verdict::Spent(after)) => {
@@ -262,7 +270,9 @@
         self.due.insert((ask.deadline + OVERDUE, Due::Request(id)));
         let reply = Some(reply);
         self.traces.insert(ask.trace.clone());
-        self.open.insert(id, Open { ask, reply, attempts: 0, out: Vec::new(), memory_mb: None, priority: 1 });
+        let open =
+            Open { ask, reply, paid: None, attempts: 0, out: Vec::new(), memory_mb: None, priority: 1 };
+        self.open.insert(id, open);
         match (due, self.contracts.clone()) {
             (Some(due), Some(contracts)) => {
                 let queue = self.queue.clone();
@@ -389,12 +399,22 @@
             Answer::Refused { .. } => self.tally.refused += 1,
             Answer::Failed(_) => self.tally.failed += 1,
         }
+        if let Answer::Refused { .. } = &answer
+            && let Some(paid) = self.open.get_mut(&id).and_then(|o| o.paid.take())
+        {
+            self.refund(paid);
+        }
         let rows = if let Answer::Served(rows) = &answer { Some(rows) } else { None };
         self.keys.iter_mut().for_each(|k| k.over(id, rows));
         // A client that has just left takes no answer; nothing is owed to it.
         let _ = reply.send(answer);
     }
 
+    /// What was paid for and never ran.
+    fn refund(&self, paid: Paid) {
+        self.contracts.iter().for_each(|c| c.refund(&paid));
+    }
+
     /// Forgets a request that is answered and has nothing out.
     fn settle(&mut self, id: RequestId) {
         if self.open.get(&id).is_some_and(|o| o.reply.is_none() && o.out.is_empty())
--- a/gateway/src/cli.rs
+++ b/gateway/src/cli.rs
@@ -82,20 +82,16 @@
                 None => println!("console: off"),
             }
             println!("cores: {}", operator.cores.max(1));
-            let log = Logger::root(slog::Discard, o!());
             let contracts =
-                serve::contracts(&operator, &config.deployment, &log).map_err(|e| e.to_string())?;
+                serve::contracts(&operator, &config.deployment, None).map_err(|e| e.to_string())?;
             let teams = operator.contracts.as_ref().map_or(0, Vec::len);
             println!(
                 "contracts: {}",
                 if contracts.is_some() { format!("{teams} teams") } else { "off".into() }
             );
-            match (&operator.store, &operator.shared_keys) {
-                (Store::Memory, _) => println!("store: in memory"),
-                (Store::Redis(_), None) => println!("store: Redis, budgets only"),
-                (Store::Redis(_), Some(terms)) => {
-                    println!("store: Redis, keys of requests shared, {terms:?}")
-                }
+            match &operator.store {
+                Store::Memory => println!("store: in memory"),
+                Store::Redis(_, terms) => println!("store: Redis, {terms:?}"),
             }
             match operator.flight {
                 Some(flight) => {
--- a/gateway/src/contracts.rs
+++ b/gateway/src/contracts.rs
@@ -2,19 +2,20 @@
 //! decision module sees a request.
 
 use crate::broker::Refusal;
-use crate::store::{Memory, Spend, Store};
+use crate::store::link::Link;
+use crate::store::unix_ms;
 use reedwalk_core::ClassId;
-use slog::{Logger, warn};
+use reedwalk_store::lease::{ALONE, EVEN, Purse, Spend};
 use std::collections::HashMap;
 use std::fmt;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::time::Instant;
-
-/// How long the shared store may take for one request.
-const STORE_WAIT: Duration = Duration::from_millis(50);
-/// After it was slow or gone, it is left alone for so long and this front end grants its own share.
-const STORE_REST: Duration = Duration::from_secs(1);
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// Units are given back to a shared store by then, or are lost to the window.
+const GIVEN_BY: Duration = Duration::from_millis(100);
+/// How often it is looked for units that nobody draws on.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
 /// A key outlives its window by this: clocks of front ends differ a little.
 const KEPT_PAST_WINDOW_MS: u64 = 5_000;
 
@@ -50,10 +51,30 @@
 
 impl std::error::Error for BadContract {}
 
-struct Terms {
+struct Account {
     costs: HashMap<ClassId, u64>,
     budget: u64,
     window_ms: u64,
+    purse: Mutex<Purse>,
+    /// Held by whoever leases for all who wait.
+    leasing: tokio::sync::Mutex<()>,
+}
+
+impl Account {
+    fn purse(&self) -> MutexGuard<'_, Purse> {
+        self.purse.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The window that counts now, and how long it lasts.
+    fn window(&self) -> (u64, Duration) {
+        let unix = unix_ms();
+        let window = self.purse().window(unix / self.window_ms);
+        (window, Duration::from_millis(self.ends_ms(window).saturating_sub(unix)))
+    }
+
+    fn ends_ms(&self, window: u64) -> u64 {
+        (window + 1).saturating_mul(self.window_ms)
+    }
 }
 
 /// What a covered request costs, to be spent before it goes on.
@@ -61,28 +82,28 @@
 pub struct Due {
     team: Arc<str>,
     amount: u64,
-    budget: u64,
-    window_ms: u64,
+}
+
+/// What was paid for a request, and in which window.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Paid {
+    due: Due,
+    window: u64,
 }
 
 /// Whether a request may go on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// It may.
-    Admitted,
+    /// It may; this was paid.
+    Admitted(Paid),
     /// Its team has spent its budget; the next window begins after this.
     Spent(Duration),
 }
 
 /// All contracts, and where they are counted.
 pub struct Contracts {
-    by_team: HashMap<Arc<str>, Terms>,
-    /// Front ends that share each budget.
-    gateways: u64,
-    shared: Option<Box<dyn Store>>,
-    local: Memory,
-    rests_until: Mutex<Option<Instant>>,
-    log: Logger,
+    by_team: HashMap<Arc<str>, Account>,
+    link: Option<Arc<Link>>,
 }
 
 impl Contracts {
@@ -94,9 +115,9 @@
         contracts: &[Contract],
         classes: &[String],
         gateways: u32,
-        shared: Option<Box<dyn Store>>,
-        log: Logger,
+        link: Option<Arc<Link>>,
     ) -> Result<Self, BadContract> {
+        let (gateways, share) = (u64::from(gateways), if link.is_some() { ALONE } else { EVEN });
         let mut by_team = HashMap::new();
         for contract in contracts {
             let bad = |reason: String| BadContract { team: contract.team.clone(), reason };
@@ -114,13 +135,18 @@
             if let Some(name) = contract.cost.keys().find(|c| !contract.classes.contains(c)) {
                 return Err(bad(format!("it prices '{name}', which it does not cover")));
             }
-            let terms = Terms { costs, budget: contract.budget, window_ms: contract.window_ms };
-            if by_team.insert(Arc::from(contract.team.as_str()), terms).is_some() {
+            let account = Account {
+                costs,
+                budget: contract.budget,
+                window_ms: contract.window_ms,
+                purse: Mutex::new(Purse::new(contract.budget, gateways, share)),
+                leasing: tokio::sync::Mutex::default(),
+            };
+            if by_team.insert(Arc::from(contract.team.as_str()), account).is_some() {
                 return Err(bad("there are two".into()));
             }
         }
-        let (gateways, rests_until) = (u64::from(gateways.max(1)), Mutex::new(None));
-        Ok(Self { by_team, gateways, shared, local: Memory::default(), rests_until, log })
+        Ok(Self { by_team, link })
     }
 
     /// Is there a contract with this team?
@@ -133,43 +159,87 @@
     /// # Errors
     /// Where no contract covers it.
     pub fn cover(&self, team: Option<&str>, class: ClassId) -> Result<Due, Refusal> {
-        let (team, terms) = team.and_then(|t| self.by_team.get_key_value(t)).ok_or(Refusal::Contract)?;
-        let amount = *terms.costs.get(&class).ok_or(Refusal::Contract)?;
-        Ok(Due { team: team.clone(), amount, budget: terms.budget, window_ms: terms.window_ms })
+        let (team, account) = team.and_then(|t| self.by_team.get_key_value(t)).ok_or(Refusal::Contract)?;
+        let amount = *account.costs.get(&class).ok_or(Refusal::Contract)?;
+        Ok(Due { team: team.clone(), amount })
     }
 
-    /// Spends what is due: in the shared store, or, where that is slow or gone, out of this front end's share.
-    pub async fn spend(&self, due: &Due) -> Verdict {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
-        let window = unix / due.window_ms;
-        let ends_ms = (window + 1).saturating_mul(due.window_ms);
-        let mut spend = Spend {
-            key: format!("reedwalk:budget:{}:{}:{window}", due.team, due.window_ms),
-            amount: due.amount,
-            most: due.budget,
-            expires_ms: ends_ms.saturating_add(KEPT_PAST_WINDOW_MS),
-        };
+    /// Spends what is due: out of what is leased here, or, where the shared store is slow or gone, out of this front
+    /// end's own part.
+    pub async fn spend(self: &Arc<Self>, due: &Due) -> Verdict {
+        let Some(account) = self.by_team.get(&due.team) else { return Verdict::Spent(Duration::ZERO) };
         let now = Instant::now();
-        let rests = self.rests_until.lock().unwrap_or_else(PoisonError::into_inner).is_some_and(|t| t > now);
-        let granted = match &self.shared {
-            Some(store) if !rests => match store.spend(&spend, now + STORE_WAIT).await {
-                Ok(granted) => Some(granted),
-                Err(error) => {
-                    warn!(self.log, "shared store"; "error" => %error);
-                    let until = Some(Instant::now() + STORE_REST);
-                    *self.rests_until.lock().unwrap_or_else(PoisonError::into_inner) = until;
-                    None
+        let by = now + self.link.as_ref().map_or(Duration::ZERO, |l| l.terms().wait);
+        let mut usable = self.link.is_some();
+        loop {
+            let now = Instant::now();
+            let (window, left) = account.window();
+            let spent = account.purse().spend(due.amount, usable && now < by, now.into_std());
+            match spent {
+                Spend::Granted => {
+                    self.lease_ahead(due, account);
+                    return Verdict::Admitted(Paid { due: due.clone(), window });
                 }
-            },
-            _ => None,
-        };
-        let granted = match granted {
-            Some(granted) => granted,
-            None => {
-                spend.most = due.budget / self.gateways;
-                self.local.spend(&spend, now).await.unwrap_or(false)
+                Spend::Denied => return Verdict::Spent(left),
+                Spend::Lease(wanted) => usable = self.lease(&due.team, account, due.amount, wanted, by).await,
             }
+        }
+    }
+
+    /// Leases for all who wait, unless another has by the time that it is this one's turn. `false` where the store
+    /// can't be asked.
+    async fn lease(&self, team: &str, account: &Account, amount: u64, wanted: u64, by: Instant) -> bool {
+        let (Some(link), Ok(_turn)) = (&self.link, timeout_at(by, account.leasing.lock()).await) else {
+            return false;
         };
-        if granted { Verdict::Admitted } else { Verdict::Spent(Duration::from_millis(ends_ms - unix)) }
+        let (window, _) = account.window();
+        if account.purse().holds(amount) {
+            return true;
+        }
+        if !link.usable(Instant::now(), by) {
+            return false;
+        }
+        let expires = account.ends_ms(window).saturating_add(KEPT_PAST_WINDOW_MS);
+        let key = link.budget(team, account.window_ms, window);
+        let Some(units) = link.lease(&key, wanted, account.budget, expires, by).await else { return false };
+        account.purse().leased(window, wanted, units, Instant::now().into_std());
+        true
+    }
+
+    /// Leases before there is need, so that requests find units here.
+    fn lease_ahead(self: &Arc<Self>, due: &Due, account: &Account) {
+        let Some(link) = &self.link else { return };
+        let ahead = account.purse().ahead(Instant::now().into_std());
+        let (Some(wanted), true) = (ahead, account.leasing.try_lock().is_ok()) else { return };
+        let (contracts, team, by) = (self.clone(), due.team.clone(), Instant::now() + link.terms().wait);
+        tokio::spawn(async move {
+            if let Some(account) = contracts.by_team.get(&team) {
+                // All that is here may be needed before it comes: this is as good as a request for it.
+                contracts.lease(&team, account, wanted, wanted, by).await;
+            }
+        });
+    }
+
+    /// What was paid for a request that never ran.
+    pub fn refund(&self, paid: &Paid) {
+        if let Some(account) = self.by_team.get(&paid.due.team) {
+            account.purse().refund(paid.window, paid.due.amount);
+        }
+    }
+
+    /// Gives back what nobody draws on, for as long as the program runs.
+    pub async fn run(self: Arc<Self>) {
+        let Some(link) = self.link.clone() else { return };
+        loop {
+            sleep_until(Instant::now() + LOOK_EVERY).await;
+            for (team, account) in &self.by_team {
+                let (now, (window, _)) = (Instant::now(), account.window());
+                let idle = account.purse().give_back(now.into_std());
+                if let Some(units) = idle.filter(|_| link.usable(now, now + GIVEN_BY)) {
+                    let key = link.budget(team, account.window_ms, window);
+                    link.give_back(&key, units, now + GIVEN_BY).await;
+                }
+            }
+        }
     }
 }
--- a/gateway/src/operator/mod.rs
+++ b/gateway/src/operator/mod.rs
@@ -29,8 +29,8 @@
     /// In each front end, which grants its even share.
     #[default]
     Memory,
-    /// In a Redis at this URL, shared by all front ends.
-    Redis(String),
+    /// In a Redis at this URL, shared by all front ends on these terms.
+    Redis(String, Terms),
 }
 
 /// Connections of the Flight SQL front where nothing is said.
@@ -64,8 +64,6 @@
     pub contracts: Option<Vec<Contract>>,
     /// Where budgets are counted.
     pub store: Store,
-    /// The keys of requests are shared there, on these terms; off without it.
-    pub shared_keys: Option<Terms>,
 }
 
 impl Operator {
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -16,7 +16,6 @@
 use crate::operator::{EngineWire, Fault, Operator, Store};
 use crate::shutdown::{Asked, OVERLAP, Phase, Signals};
 use crate::store::link::Link;
-use crate::store::{Redis, StoreError};
 use crate::succession::{MAKES_ROOM, Succession};
 use reedwalk_core::{Effect, Gateway};
 use reedwalk_membership::{Part, Stage};
@@ -44,7 +43,7 @@
     /// A contract makes no sense.
     Contract(BadContract),
     /// The shared store is not named as one.
-    Store(StoreError),
+    Store(redis::RedisError),
     /// An operator's file asks for what the limits do not allow.
     Operator(Fault),
     /// The task that judges has ended before its time.
@@ -175,7 +174,8 @@
         Effect::Keyed { memory, .. } => Some(memory),
         _ => None,
     });
-    let keys = shared_keys(&operator, window.max().unwrap_or_default(), log)?;
+    let link = link(&operator, window.max().unwrap_or_default(), log)?;
+    let keys = link.clone().filter(|l| l.terms().share_keys);
     let shared = Shared { roll: Roll::default(), figures: figures.clone(), part: part.clone(), keys };
     let keep = kept.as_ref().map(|(folder, stem)| Keep::new(folder, stem));
     let members_log = log.new(o!("part" => "members"));
@@ -217,7 +217,8 @@
         }
     };
     let broker_log = log.new(o!("part" => "broker"));
-    let contracts = contracts(&operator, &deployment, log)?.map(Arc::new);
+    let contracts = contracts(&operator, &deployment, link)?.map(Arc::new);
+    contracts.iter().cloned().for_each(|c| _ = tokio::spawn(c.run()));
     let broker =
         Broker::new(gateway, links, &deployment, contracts.clone(), shared, queue.clone(), broker_log);
     let judge = cores.judge(broker.run(inputs));
@@ -283,13 +284,13 @@
     })
 }
 
-/// The link to the store in which the keys of requests are shared, if they are.
-fn shared_keys(operator: &Operator, window: Duration, log: &Logger) -> Result<Option<Arc<Link>>, ServeError> {
-    let (Store::Redis(url), Some(terms)) = (&operator.store, &operator.shared_keys) else { return Ok(None) };
+/// The link to the shared store, if there is one.
+fn link(operator: &Operator, window: Duration, log: &Logger) -> Result<Option<Arc<Link>>, ServeError> {
+    let Store::Redis(url, terms) = &operator.store else { return Ok(None) };
     // Drawn by the system for each process.
     let front = RandomState::new().build_hasher().finish();
     let log = log.new(o!("part" => "store"));
-    let link = Link::new(url, terms.clone(), front, window, log).map_err(|e| ServeError::Store(e.into()))?;
+    let link = Link::new(url, terms.clone(), front, window, log).map_err(ServeError::Store)?;
     let link = Arc::new(link);
     tokio::spawn(link.clone().run());
     Ok(Some(link))
@@ -302,18 +303,11 @@
 pub fn contracts(
     operator: &Operator,
     deployment: &Deployment,
-    log: &Logger,
+    link: Option<Arc<Link>>,
 ) -> Result<Option<Contracts>, ServeError> {
     let Some(contracts) = &operator.contracts else { return Ok(None) };
-    let shared = match &operator.store {
-        Store::Memory => None,
-        Store::Redis(url) => Some(Box::new(Redis::new(url).map_err(ServeError::Store)?) as Box<_>),
-    };
-    let log = log.new(o!("part" => "contracts"));
     let classes = &deployment.sockets.classes;
-    Contracts::new(contracts, classes, deployment.core.gateways, shared, log)
-        .map(Some)
-        .map_err(ServeError::Contract)
+    Contracts::new(contracts, classes, deployment.core.gateways, link).map(Some).map_err(ServeError::Contract)
 }
 
 /// What the files of this front end are called, the same for each of its processes and no other's.
--- a/gateway/src/store/link.rs
+++ b/gateway/src/store/link.rs
@@ -60,6 +60,17 @@
 redis.call('SET', KEYS[2], ARGV[1], 'PX', ARGV[2])
 return 1";
 
+/// Takes units of a budget, as many as are left of those wanted; its answer is how many.
+const LEASE_UNITS: &str = "\
+-- reedwalk lease 1
+local left = tonumber(ARGV[2]) - tonumber(redis.call('GET', KEYS[1]) or '0')
+local units = math.max(0, math.min(tonumber(ARGV[1]), left))
+if units > 0 then
+  redis.call('INCRBY', KEYS[1], units)
+  redis.call('PEXPIREAT', KEYS[1], ARGV[3])
+end
+return units";
+
 /// What an operator says of the shared store beside its address.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Terms {
@@ -69,6 +80,8 @@
     pub clocks_differ: Duration,
     /// How long a request waits for one answer.
     pub wait: Duration,
+    /// The keys of requests are shared there, too.
+    pub share_keys: bool,
 }
 
 impl Default for Terms {
@@ -77,6 +90,7 @@
             namespace: "reedwalk".into(),
             clocks_differ: Duration::from_millis(500),
             wait: Duration::from_millis(25),
+            share_keys: false,
         }
     }
 }
@@ -107,7 +121,7 @@
 pub struct Link {
     client: Client,
     connection: tokio::sync::Mutex<Option<MultiplexedConnection>>,
-    scripts: [Script; 3],
+    scripts: [Script; 4],
     state: Mutex<State>,
     written: Notify,
     front: u64,
@@ -139,7 +153,7 @@
         Ok(Self {
             client: Client::open(url)?,
             connection: tokio::sync::Mutex::new(None),
-            scripts: [CLAIM, WRITE, RENEW].map(Script::new),
+            scripts: [CLAIM, WRITE, RENEW, LEASE_UNITS].map(Script::new),
             state: Mutex::new(state),
             written: Notify::new(),
             front,
@@ -250,6 +264,34 @@
         call
     }
 
+    /// Where a budget's units of a window are counted.
+    pub fn budget(&self, team: &str, window_ms: u64, window: u64) -> String {
+        format!("{}:1:budget:{team}:{window_ms}:{window}", self.terms.namespace)
+    }
+
+    /// Leases units of a budget: as many as are left of those wanted. None where there is no answer by `by`.
+    pub async fn lease(
+        &self,
+        budget: &str,
+        wanted: u64,
+        most: u64,
+        expires_ms: u64,
+        by: Instant,
+    ) -> Option<u64> {
+        let mut call = self.scripts[3].prepare_invoke();
+        call.key(budget).arg(wanted).arg(most).arg(expires_ms);
+        self.ask(&call, by).await
+    }
+
+    /// Gives units back, or leaves it where the store does not take them by `by`.
+    pub async fn give_back(&self, budget: &str, units: u64, by: Instant) {
+        let asked = async {
+            let mut connection = self.connection().await?;
+            redis::cmd("DECRBY").arg(budget).arg(units).query_async::<i64>(&mut connection).await
+        };
+        let _ = self.learn(asked, by).await;
+    }
+
     /// Writes the end of a request, some time soon.
     pub fn close(&self, key: Key, holder: Holder, window: Duration, close: Close) {
         let mut state = self.state();
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod breaker;
 pub mod codec;
 pub mod keyed;
+pub mod lease;
 pub mod outbox;
