Measure what a shared store adds and what a failing one costs a budget

The first version measured budgets with engines that keep no record, so it showed 0; it now ends with an error where no attempt reached the record.

The states begin once and halfway, so that a window that sees several changes is not covered.

--- a/measures/src/bin/measure-store.rs
+++ b/measures/src/bin/measure-store.rs
@@ -7,6 +7,7 @@
 use reedwalk_measures::{Front, Setup, apart, machine};
 use reedwalk_standins::config::known;
 use reedwalk_standins::driver::{self, Kind, Plan, Result};
+use reedwalk_standins::model::Shape;
 use reedwalk_standins::record::{Record, What};
 use reedwalk_standins::redis::{Redis, Trouble};
 use reedwalk_standins::resp::modelled;
@@ -88,7 +89,9 @@
     let engines: Vec<_> = (0..2)
         .map(|_| {
             let record = record.clone();
-            apart(|| async { modelled("e", None, record).await.address })
+            // Engines that answer at once keep no record.
+            let shape = Shape { cores: 64.0, ..Shape::default() };
+            apart(|| async { modelled("e", Some(shape), record).await.address })
         })
         .collect();
     let redis = Redis::default();
@@ -116,7 +119,7 @@
     // In the middle of a load, so that it is found out under load.
     let troubled = trouble(&redis, state, LEAD + SPAN / 2, &stop);
     let kinds = vec![kind("batch-post", true)];
-    let plan = Plan { rate, span: SPAN, sessions: 64, threads: 2, seed, kinds };
+    let plan = Plan { rate, span: SPAN, sessions: 64, threads: fronts.max(2), seed, kinds };
     let result = driver::play(&addresses, &plan, LEAD);
     stop.store(true, Ordering::Relaxed);
     troubled.join().unwrap();
@@ -129,6 +132,7 @@
             key.into_iter().for_each(|key| *keys.entry(key).or_default() += 1);
         }
     }
+    assert!(!keys.is_empty(), "no attempt reached an engine's record");
     let duplicates = keys.values().map(|n| n - 1).sum();
     let most = windows.values().max().copied().unwrap_or(0) as f64;
     (result, commands, duplicates, most)
