Say once that a shared store has lost writes, and test passwords and a split

Need: a store seen to be stale was logged with every claim while it lasted; a wrong password and a front end that is cut off from the store had no test.

Change: one place looks at the count that a front end keeps there and logs when trust ends; the stand-in asks for a password. Tests: a wrong password is said once while 20 requests are served, the right one lets in; a retry at a front end that is cut off is refused and sent to no second hall, and the other answers it from the store.

--- a/gateway/src/store/link.rs
+++ b/gateway/src/store/link.rs
@@ -218,22 +218,30 @@
         call.arg(stage.letter());
         type Found = (i64, i64, Option<Vec<u8>>, Option<Vec<u8>>, Option<u64>);
         let (taken, left, stage, value, count): Found = self.ask(&call, by).await?;
-        let (prior, now) = (prior(stage, value), Instant::now().into_std());
+        let (prior, trusted) = (prior(stage, value), self.looked(count));
         let mut state = self.state();
         state.unread += u64::from(prior == Prior::Unreadable);
-        let doubtful = state.beat.read(count, now);
-        let trusted = state.beat.trusts(now);
         if taken == 1 {
             state.held.insert(holder, key.clone());
         }
         drop(state);
-        if doubtful {
-            warn!(self.log, "shared store"; "state" => "stale", "count" => ?count);
-        }
         let lease_left = Duration::from_millis(left.max(0) as u64);
         Some((Claimed { taken: taken == 1, lease_left, prior }, trusted))
     }
 
+    /// Has seen its own count there; whether a word that nothing was sent may be believed.
+    fn looked(&self, count: Option<u64>) -> bool {
+        let (mut state, now) = (self.state(), Instant::now().into_std());
+        let before = state.beat.trusts(now);
+        state.beat.read(count, now);
+        let trusted = state.beat.trusts(now);
+        drop(state);
+        if before && !trusted {
+            warn!(self.log, "shared store"; "state" => "stale", "count" => ?count);
+        }
+        trusted
+    }
+
     /// Writes where the key's holder sends; none where there is no answer by `by`.
     pub async fn mark(
         &self,
@@ -389,8 +397,8 @@
             pipe.query_async::<(Option<u64>,)>(&mut connection).await
         };
         let Some((found,)) = self.learn(asked, now + self.terms.wait).await else { return };
+        self.looked(found);
         let mut state = self.state();
-        state.beat.read(found, Instant::now().into_std());
         state.beat.confirmed(count, now.into_std());
         let told = (state.unread, state.outbox.dropped());
         if std::mem::replace(&mut state.told, told) != told {
--- a/gateway/tests/shared_store.rs
+++ b/gateway/tests/shared_store.rs
@@ -43,7 +43,7 @@
 }
 
 /// The same as a process, which can be killed.
-fn process(engines: &[SocketAddr; 2], redis: SocketAddr, scope: &str) -> Process {
+fn process(engines: &[SocketAddr; 2], redis: impl std::fmt::Display, scope: &str) -> Process {
     let (settings, known) = halls(engines, scope);
     let folder = folder();
     let (file, operator) = (folder.join("config.json"), folder.join("operator.kdl"));
@@ -343,6 +343,43 @@
     assert_eq!(effects(&world), 1);
 }
 
+#[tokio::test]
+async fn a_wrong_password_is_said_once_and_the_right_one_lets_in() {
+    let (world, redis) = (World::default(), Redis::default());
+    redis.password("right");
+    let (engines, address) = (engines(&world).await, redis.start().await);
+    let shut_out = process(&engines, format!("default:wrong@{address}"), "all");
+    let mut client = Client::connect(shut_out.mysql).await;
+    until("it is told", || shut_out.said("shared store") > 0).await;
+    for n in 0..20 {
+        assert_eq!(client.ended(&first(&format!("k{n}"), "INSERT 1")).await, Ended::Served);
+    }
+    assert_eq!(shut_out.said("shared store"), 1, "said once");
+    let let_in = process(&engines, format!("default:right@{address}"), "all");
+    found(&redis, 1).await;
+    let mut client = Client::connect(let_in.mysql).await;
+    assert_eq!(client.ended(&first("k-in", "INSERT 1")).await, Ended::Served);
+    reaches(&redis, "k-in", "d").await;
+}
+
+#[tokio::test]
+async fn a_front_end_that_is_cut_off_from_the_store_sends_no_retry_to_a_second_hall() {
+    let (world, redis) = (World::default(), Redis::default());
+    world.0.lock().unwrap().apart = true;
+    let (engines, address) = (engines(&world).await, redis.start().await);
+    let gone = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let (sees, cut_off) = (front(&engines, address, "zone").await, front(&engines, gone, "zone").await);
+    found(&redis, 1).await;
+    for n in 0..6 {
+        let (key, statement) = (format!("k{n}"), format!("INSERT {n}"));
+        assert_eq!(ended(&sees, &first(&key, &statement)).await, Ended::Served);
+        reaches(&redis, &key, "d").await;
+        assert_eq!(ended(&cut_off, &again(&key, &statement)).await, Ended::Refused("BUSY", true));
+        assert_eq!(ended(&sees, &again(&key, &statement)).await, Ended::Served, "from the store");
+    }
+    assert_eq!((effects(&world), sends(&world)), (6, 6));
+}
+
 #[tokio::test]
 async fn a_url_that_is_none_is_an_error_at_the_start() {
     let operator = Operator { store: Store::Redis("http://nowhere".into(), terms()), ..Operator::default() };
--- a/standins/src/redis.rs
+++ b/standins/src/redis.rs
@@ -59,6 +59,8 @@
     always: Option<Trouble>,
     /// What goes wrong with commands that hold this word.
     with: Option<(String, Trouble)>,
+    /// Without it nothing is done on a connection.
+    password: Option<String>,
     seen: Vec<(Instant, Vec<String>)>,
     /// Digests of the scripts that were loaded.
     loaded: BTreeSet<String>,
@@ -334,6 +336,11 @@
         self.state().always = trouble;
     }
 
+    /// Connections must log in with this from now on.
+    pub fn password(&self, password: &str) {
+        self.state().password = Some(password.to_owned());
+    }
+
     /// From here on all commands that hold this word meet this.
     pub fn trouble_with(&self, word: &str, trouble: Trouble) {
         self.state().with = Some((word.to_owned(), trouble));
@@ -379,8 +386,26 @@
 
     async fn serve(self, mut stream: TcpStream) {
         let (mut buffer, mut queued) = (BytesMut::new(), None::<Vec<Vec<Bytes>>>);
+        let mut stranger = self.state().password.is_some();
         while matches!(stream.read_buf(&mut buffer).await, Ok(n) if n > 0) {
             while let Some(words) = take_array(&mut buffer) {
+                if stranger {
+                    let right = words[0].eq_ignore_ascii_case(b"AUTH")
+                        && words.last().map(|w| &w[..])
+                            == self.state().password.as_ref().map(|p| p.as_bytes());
+                    stranger = !right;
+                    let answer = if right {
+                        "+OK\r\n"
+                    } else if words[0].eq_ignore_ascii_case(b"AUTH") {
+                        "-WRONGPASS invalid username-password pair or user is disabled.\r\n"
+                    } else {
+                        "-NOAUTH Authentication required.\r\n"
+                    };
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    continue;
+                }
                 // A transaction is queued and meets its trouble, as a whole, at its EXEC.
                 let queues = match (&words[0].to_ascii_uppercase()[..], &mut queued) {
                     (b"MULTI", _) => {
