--- a/gateway/tests/operation.rs
+++ b/gateway/tests/operation.rs
@@ -517,6 +517,24 @@
     shows(third.console, "the call back", none).await;
 }
 
+#[tokio::test]
+async fn three_processes_have_a_third_each_and_one_beyond_the_places_says_so() {
+    let world = World::default();
+    let site = Site::new(&engines(&world).await, None, 256);
+    let first = site.start();
+    let mut others: Vec<_> = (0..2).map(|_| site.start()).collect();
+    until("it has a third", || first.said("part: 0.3333") > 0).await;
+    assert!(yes(others[1].console, "OFFLINE s-0").await);
+    shows(first.console, "a word given to the third", |f| f["members_unavailable"] == 1).await;
+    // A place for a fourth, and none for a fifth, which counts as alone.
+    others.extend((0..2).map(|_| site.start()));
+    assert_eq!(others[2].said("no place among the processes"), 0);
+    assert_eq!(others[3].said("no place among the processes"), 1);
+    shows(others[3].console, "the word all the same", |f| f["members_unavailable"] == 1).await;
+    drop(others);
+    until("it is alone", || first.said("part: 1") > 0).await;
+}
+
 #[tokio::test]
 async fn a_word_that_was_kept_and_never_answered_holds_in_the_next_process() {
     let world = World::default();
