Test that a retry over Flight gets the count that was given

Need: all fronts go through the same rules; keyed requests beside a store were tested through the MySQL front only.

Change: two front ends on Flight with Flight engines; an update's retry through the second gets the first's count from the store.

--- a/gateway/tests/shared_store.rs
+++ b/gateway/tests/shared_store.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use reedwalk_gateway::config::Config;
-use reedwalk_gateway::operator::{Operator, Store};
+use reedwalk_gateway::operator::{EngineWire, Operator, Store};
 use reedwalk_gateway::serve::Running;
 use reedwalk_gateway::store::link::Terms;
 use serde_json::json;
@@ -13,7 +13,7 @@
 use support::mysql::{Client, expected, fields};
 use support::process::Process;
 use support::redis::{Redis, Trouble, Value};
-use support::{Ended, World, config, folder, gateway, resp, settings, until};
+use support::{Ended, World, both_fronts, config, flight, folder, gateway, resp, settings, until};
 
 const SHARES: &str = "reedwalk:1:key:batch-post:";
 
@@ -285,6 +285,26 @@
     assert_eq!(effects(&world), 1);
 }
 
+#[tokio::test]
+async fn a_retry_over_flight_gets_the_count_that_was_given() {
+    let (world, redis) = (World::default(), Redis::default());
+    let address = redis.start().await;
+    let engines = [flight::engine("a", world.clone()).await, flight::engine("b", world.clone()).await];
+    let operator = || Operator {
+        store: Store::Redis(format!("redis://{address}"), terms()),
+        ..both_fronts(EngineWire::FlightSql)
+    };
+    let fronts = [gateway(config(&engines), operator()).await, gateway(config(&engines), operator()).await];
+    found(&redis, 2).await;
+    let client = flight::Client::connect(fronts[0].flight.unwrap()).await;
+    let given = client.of("batch-post", Some("k1")).update("INSERT 1").await.unwrap();
+    reaches(&redis, "k1", "d").await;
+    let client = flight::Client::connect(fronts[1].flight.unwrap()).await;
+    let again = client.of("batch-post", Some("k1")).with("reedwalk-retry", "1");
+    assert_eq!(again.update("INSERT 1").await.unwrap(), given);
+    assert_eq!((effects(&world), sends(&world)), (1, 1));
+}
+
 /// Asks again until it is served; every answer before that says when to come back.
 async fn served_at_last(front: &Running, text: &str) {
     let by = Instant::now() + Duration::from_secs(8);
