Pay back only what no engine can have worked for

Every refused request was paid back, also one that engines had worked for: a refusal promises that a further try is harmless, not that nothing ran (broker/mod.rs, answer).

Change: paid back where no attempt is out and none that has ended may have run. Measured: a test spends a budget of two on requests that engines answer with errors and finds it spent; with the condition out it fails. 26 tests of contracts, broker and the shared store pass.

--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -45,6 +45,8 @@
     reply: Option<oneshot::Sender<Answer>>,
     /// What its team has paid for it.
     paid: Option<Paid>,
+    /// An attempt that has ended may have run.
+    ran: bool,
     attempts: u32,
     out: Vec<(AttemptNo, AttemptKey)>,
     memory_mb: Option<f64>,
@@ -270,8 +272,16 @@
         self.due.insert((ask.deadline + OVERDUE, Due::Request(id)));
         let reply = Some(reply);
         self.traces.insert(ask.trace.clone());
-        let open =
-            Open { ask, reply, paid: None, attempts: 0, out: Vec::new(), memory_mb: None, priority: 1 };
+        let open = Open {
+            ask,
+            reply,
+            paid: None,
+            ran: false,
+            attempts: 0,
+            out: Vec::new(),
+            memory_mb: None,
+            priority: 1,
+        };
         self.open.insert(id, open);
         match (due, self.contracts.clone()) {
             (Some(due), Some(contracts)) => {
@@ -372,6 +382,7 @@
         let mut closed = true;
         if let Some(open) = self.open.get_mut(&out.request) {
             open.out.retain(|o| o.1 != key);
+            open.ran |= !end.outcome.never_ran();
             closed = open.reply.is_none();
         }
         self.keys.iter_mut().for_each(|k| k.ended(out.request, key, !end.outcome.never_ran()));
@@ -399,8 +410,10 @@
             Answer::Refused { .. } => self.tally.refused += 1,
             Answer::Failed(_) => self.tally.failed += 1,
         }
+        // A refusal promises that a further try is harmless, not that no engine has worked for this one.
         if let Answer::Refused { .. } = &answer
-            && let Some(paid) = self.open.get_mut(&id).and_then(|o| o.paid.take())
+            && let Some(open) = self.open.get_mut(&id).filter(|o| !o.ran && o.out.is_empty())
+            && let Some(paid) = open.paid.take()
         {
             self.refund(paid);
         }
--- a/gateway/tests/contracts.rs
+++ b/gateway/tests/contracts.rs
@@ -209,3 +209,18 @@
     assert_eq!(client.ended(&fields("lookup", 2000, None, "SELECT 2")).await, Ended::Served);
     assert_eq!(client.ended(&fields("lookup", 2000, None, "SELECT 3")).await, Ended::Refused("BUDGET", true));
 }
+
+#[tokio::test]
+async fn what_was_refused_and_may_have_run_is_paid_for() {
+    early_in_the_window().await;
+    let world = World::default();
+    let operator = Operator { contracts: Some(vec![contract(2, HOUR_MS)]), ..Operator::default() };
+    let running = gateway(config(&[resp::engine("a", world.clone()).await]), operator).await;
+    let mut client = Client::connect_as(running.mysql, "desk").await;
+    for n in 0..2 {
+        let end = client.ended(&fields("lookup", 400, None, &format!("ERROR {n}"))).await;
+        assert!(matches!(end, Ended::Refused("BUSY", _)), "{end:?}");
+    }
+    assert!(world.sends("a") >= 2);
+    assert_eq!(client.ended(&fields("lookup", 2000, None, "SELECT 1")).await, Ended::Refused("BUDGET", true));
+}
