--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 # Tasks of the repository. CONFIG names the configuration that `make run` starts with.
 CONFIG ?= deploy/example-config.json
 
-.PHONY: build test lint run measure-held measure-cores measure-room measure-handover measure-store
+.PHONY: build test lint run fleet measure-held measure-cores measure-room measure-handover measure-store measure-peers
+
+# The day that `make fleet` plays.
+DAY ?= fleet/days/lesson.kdl
 
 build:
 	cargo build --release --locked
@@ -34,6 +37,14 @@
 measure-handover: build
 	cargo run --release --locked -p reedwalk-measures --bin measure-handover
 
+# One day of a fleet of real processes: a table, what struck, and charts in target/fleet.
+fleet: build
+	cargo run --release --locked -p reedwalk-fleet --bin reedwalk-fleet -- $(DAY)
+
+# What it is worth that front ends know each other, at 20, 100 and 300 of them; some 10 minutes, alone on the machine.
+measure-peers: build
+	cargo run --release --locked -p reedwalk-measures --bin measure-peers
+
 # What a shared store adds to a request, and what it costs when it fails; some 5 minutes.
 measure-store: build
 	cargo run --release --locked -p reedwalk-measures --bin measure-store
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -282,6 +282,7 @@
         let name = |r: &RequestId| self.handles.get(r).map(|h| h.name.as_str());
         let address = |e: &EngineId| self.addresses.get(e.0 as usize).map(String::as_str);
         let us = |d: &Duration| d.as_micros() as u64;
+        let words;
         let out = match action {
             Action::Send { request, engine, timeout } => {
                 name(request).zip(address(engine)).map(|(handle, executor)| Out::Try {
@@ -310,6 +311,10 @@
             Action::Probe(engine) => {
                 address(engine).map(|executor| Out::HealthCheck { controller_id: id, executor })
             }
+            Action::Suspect { engine, silent, .. } => {
+                words = suspicion(*engine, *silent);
+                Some(Out::SayLog { controller_id: id, words: &words })
+            }
             Action::Subscribe => Some(Out::Listen { controller_id: id, on: true }),
             Action::Log(words) => Some(Out::SayLog { controller_id: id, words }),
         };
@@ -325,6 +330,10 @@
     }
 }
 
+fn suspicion(engine: EngineId, silent: bool) -> String {
+    format!("quarantine engine {} {}", engine.0, if silent { "silent" } else { "fails" })
+}
+
 fn write(reply: &mut Vec<u8>, first: &mut bool, out: &Out<'_>) {
     if !std::mem::replace(first, false) {
         reply.push(b',');
--- /dev/null
+++ b/fleet/src/day.rs
@@ -0,0 +1,359 @@
+//! A description of a run in KDL: how large a fleet, what load, which faults at which times. What it does not know is an
+//! error that names the line.
+
+use crate::fault::Fault;
+use kdl::{KdlDocument, KdlNode, KdlValue};
+use std::fmt;
+use std::time::Duration;
+
+/// What happens at a time of the run.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// All links between front ends behave so from now on.
+    Links(Fault),
+    /// Nothing passes between so many groups of front ends, dealt out in turn.
+    Split(usize),
+    Heal,
+    /// An engine turns bad, silent, dead or well.
+    Engine(usize, Mood),
+    /// Front ends are killed, started again, stopped, woken.
+    Kill(Vec<usize>),
+    Restart(Vec<usize>),
+    Stop(Vec<usize>),
+    Wake(Vec<usize>),
+    /// Connections from a hall to an engine are held, reset or well again.
+    Way(usize, usize, Way),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mood {
+    Well,
+    Fails,
+    Silent,
+    Dead,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    Held,
+    Reset,
+    Open,
+}
+
+/// A whole run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Day {
+    pub name: String,
+    pub seed: u64,
+    pub fronts: usize,
+    pub engines: usize,
+    pub cores: f64,
+    pub halls: usize,
+    pub cold: bool,
+    pub peers: bool,
+    /// Requests a second over all front ends, their work in milliseconds, shares of statements and keyed posts.
+    pub rate: f64,
+    pub work_ms: f64,
+    pub statements: f64,
+    pub posts: f64,
+    pub lasts: Duration,
+    /// In the order of their times.
+    pub events: Vec<(Duration, Event)>,
+}
+
+/// What is wrong with a description, and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BadDay {
+    pub line: usize,
+    pub what: String,
+}
+
+impl fmt::Display for BadDay {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: {}", self.line, self.what)
+    }
+}
+
+impl std::error::Error for BadDay {}
+
+struct Text<'a>(&'a str);
+
+impl Text<'_> {
+    fn fault<T>(&self, node: &KdlNode, what: impl Into<String>) -> Result<T, BadDay> {
+        let start = node.span().offset();
+        let space = self.0.get(start..).map_or(0, |rest| rest.len() - rest.trim_start().len());
+        let before = &self.0.as_bytes()[..(start + space).min(self.0.len())];
+        Err(BadDay { line: 1 + before.iter().filter(|b| **b == b'\n').count(), what: what.into() })
+    }
+
+    /// The plain arguments of a node, and a check that it has no others than these with a name.
+    fn plain<'n>(&self, node: &'n KdlNode, named: &[&str]) -> Result<Vec<&'n KdlValue>, BadDay> {
+        let stranger = node.entries().iter().filter_map(|e| e.name()).find(|n| !named.contains(&n.value()));
+        if let Some(name) = stranger {
+            return self.fault(
+                node,
+                format!(
+                    "'{}' knows no '{}'; it takes {}",
+                    node.name().value(),
+                    name.value(),
+                    named.join(", ")
+                ),
+            );
+        }
+        Ok(node.entries().iter().filter(|e| e.name().is_none()).map(|e| e.value()).collect())
+    }
+
+    fn number(&self, node: &KdlNode, value: Option<&KdlValue>, what: &str) -> Result<f64, BadDay> {
+        let number = value.and_then(|v| v.as_float().or(v.as_integer().map(|n| n as f64)));
+        match number.filter(|n| n.is_finite() && *n >= 0.0) {
+            Some(number) => Ok(number),
+            None => self.fault(node, format!("'{}' takes {what}", node.name().value())),
+        }
+    }
+
+    fn named(&self, node: &KdlNode, name: &str, usual: f64) -> Result<f64, BadDay> {
+        match node.get(name) {
+            Some(value) => self.number(node, Some(value), &format!("{name}=NUMBER")),
+            None => Ok(usual),
+        }
+    }
+
+    fn span(&self, node: &KdlNode, value: Option<&KdlValue>) -> Result<Duration, BadDay> {
+        let text = value.and_then(KdlValue::as_string);
+        let parts = text
+            .and_then(|t| t.strip_suffix("ms").map(|n| (n, 1e-3)).or(t.strip_suffix('s').map(|n| (n, 1.0))));
+        let seconds = parts.and_then(|(n, unit)| Some(n.parse::<f64>().ok()? * unit));
+        match seconds.filter(|s| (0.0..=3600.0).contains(s)) {
+            Some(seconds) => Ok(Duration::from_secs_f64(seconds)),
+            None => self
+                .fault(node, format!("'{}' takes a time such as \"250ms\" or \"3s\"", node.name().value())),
+        }
+    }
+
+    fn named_span(&self, node: &KdlNode, name: &str) -> Result<Duration, BadDay> {
+        node.get(name).map_or(Ok(Duration::ZERO), |v| self.span(node, Some(v)))
+    }
+
+    fn which(&self, node: &KdlNode, most: usize) -> Result<Vec<usize>, BadDay> {
+        let mut which = Vec::new();
+        for value in self.plain(node, &["from", "to"])? {
+            which.push(self.number(node, Some(value), "numbers of front ends")? as usize);
+        }
+        if let (Some(from), Some(to)) = (node.get("from"), node.get("to")) {
+            let (from, to) =
+                (self.number(node, Some(from), "from=NUMBER")?, self.number(node, Some(to), "to=NUMBER")?);
+            which.extend(from as usize..=to as usize);
+        }
+        if which.is_empty() || which.iter().any(|n| *n >= most) {
+            return self
+                .fault(node, format!("'{}' takes front ends from 0 to {}", node.name().value(), most - 1));
+        }
+        Ok(which)
+    }
+
+    fn event(&self, node: &KdlNode, day: &Day) -> Result<Event, BadDay> {
+        let word = |n: usize| node.entries().get(n).and_then(|e| e.value().as_string());
+        let engine = |n: usize| -> Result<usize, BadDay> {
+            let plain = self.plain(node, &[])?;
+            let number = self.number(node, plain.get(n).copied(), "the number of an engine")? as usize;
+            if number >= day.engines {
+                return self
+                    .fault(node, format!("there is no engine {number}, but 0 to {}", day.engines - 1));
+            }
+            Ok(number)
+        };
+        Ok(match node.name().value() {
+            "links" => {
+                self.plain(node, &["loss", "twice", "garbled", "delay", "jitter"])?;
+                Event::Links(Fault {
+                    cut: false,
+                    loss: self.named(node, "loss", 0.0)?,
+                    twice: self.named(node, "twice", 0.0)?,
+                    garbled: self.named(node, "garbled", 0.0)?,
+                    delay: self.named_span(node, "delay")?,
+                    jitter: self.named_span(node, "jitter")?,
+                })
+            }
+            "split" => Event::Split(self.number(
+                node,
+                self.plain(node, &[])?.first().copied(),
+                "a number of groups",
+            )? as usize),
+            "heal" => Event::Heal,
+            "engine" => {
+                let mood = match word(1) {
+                    Some("well") => Mood::Well,
+                    Some("fails") => Mood::Fails,
+                    Some("silent") => Mood::Silent,
+                    Some("dead") => Mood::Dead,
+                    _ => {
+                        return self.fault(
+                            node,
+                            "'engine' takes its number and \"well\", \"fails\", \"silent\" or \"dead\"",
+                        );
+                    }
+                };
+                Event::Engine(engine(0)?, mood)
+            }
+            "kill" => Event::Kill(self.which(node, day.fronts)?),
+            "restart" => Event::Restart(self.which(node, day.fronts)?),
+            "stop" => Event::Stop(self.which(node, day.fronts)?),
+            "wake" => Event::Wake(self.which(node, day.fronts)?),
+            "way" => {
+                let plain = self.plain(node, &[])?;
+                let hall =
+                    self.number(node, plain.first().copied(), "a hall, an engine and a word")? as usize;
+                let way = match word(2) {
+                    Some("held") => Way::Held,
+                    Some("reset") => Way::Reset,
+                    Some("open") => Way::Open,
+                    _ => {
+                        return self.fault(
+                            node,
+                            "'way' takes a hall, an engine and \"held\", \"reset\" or \"open\"",
+                        );
+                    }
+                };
+                if hall >= day.halls {
+                    return self.fault(node, format!("there is no hall {hall}; 'halls' says {}", day.halls));
+                }
+                Event::Way(hall, engine(1)?, way)
+            }
+            other => {
+                let known = "links, split, heal, engine, kill, restart, stop, wake, way";
+                return self.fault(node, format!("unknown event '{other}'; expected {known}"));
+            }
+        })
+    }
+}
+
+/// Reads a description.
+///
+/// # Errors
+/// The first fault that was found.
+pub fn read(source: &str) -> Result<Day, BadDay> {
+    let text = Text(source);
+    let document = KdlDocument::parse(source).map_err(|error| {
+        let first = error.diagnostics.first();
+        let at = first.map_or(0, |d| d.span.offset()).min(source.len());
+        let line = 1 + source.as_bytes()[..at].iter().filter(|b| **b == b'\n').count();
+        let what = first.and_then(|d| d.message.clone().or(d.label.clone()));
+        BadDay { line, what: what.unwrap_or_else(|| "not a KDL document".into()) }
+    })?;
+    let [node] = document.nodes() else {
+        return Err(BadDay { line: 1, what: "expected one 'day' and nothing beside it".into() });
+    };
+    let name = node.entries().iter().find(|e| e.name().is_none()).and_then(|e| e.value().as_string());
+    let (Some(name), "day", Some(block)) = (name, node.name().value(), node.children()) else {
+        return text.fault(node, "expected 'day \"NAME\" seed=NUMBER' and a block in braces");
+    };
+    let mut day = Day {
+        name: name.to_owned(),
+        seed: text.named(node, "seed", 1.0)? as u64,
+        fronts: 0,
+        engines: 0,
+        cores: 8.0,
+        halls: 0,
+        cold: false,
+        peers: true,
+        rate: 100.0,
+        work_ms: 50.0,
+        statements: 0.0,
+        posts: 0.0,
+        lasts: Duration::from_secs(10),
+        events: Vec::new(),
+    };
+    for node in block.nodes() {
+        let first = |named: &[&str]| text.plain(node, named).map(|p| p.first().copied());
+        match node.name().value() {
+            "front-ends" => day.fronts = text.number(node, first(&[])?, "a number")? as usize,
+            "engines" => {
+                day.engines = text.number(node, first(&["cores"])?, "a number")? as usize;
+                day.cores = text.named(node, "cores", 8.0)?;
+            }
+            "halls" => day.halls = text.number(node, first(&[])?, "a number")? as usize,
+            "cold" => day.cold = true,
+            "peers" => match first(&[])?.and_then(KdlValue::as_string) {
+                Some("on") => day.peers = true,
+                Some("off") => day.peers = false,
+                _ => return text.fault(node, "'peers' takes \"on\" or \"off\""),
+            },
+            "load" => {
+                text.plain(node, &["rate", "work", "statements", "posts"])?;
+                day.rate = text.named(node, "rate", day.rate)?;
+                day.statements = text.named(node, "statements", 0.0)?;
+                day.posts = text.named(node, "posts", 0.0)?;
+                if node.get("work").is_some() {
+                    day.work_ms = text.named_span(node, "work")?.as_secs_f64() * 1e3;
+                }
+            }
+            "lasts" => day.lasts = text.span(node, first(&[])?)?,
+            "at" => {
+                let at = text.span(node, first(&[])?)?;
+                let Some(block) = node.children() else {
+                    return text.fault(node, "'at' takes a time and a block in braces");
+                };
+                for event in block.nodes() {
+                    let event = text.event(event, &day)?;
+                    day.events.push((at, event));
+                }
+            }
+            other => {
+                let known = "front-ends, engines, halls, cold, peers, load, lasts, at";
+                return text.fault(node, format!("unknown setting '{other}'; expected {known}"));
+            }
+        }
+    }
+    if day.fronts < 1 || day.engines < 1 || day.fronts > 400 {
+        return text.fault(node, "a day has 'front-ends' (1 to 400) and 'engines' (1 or more)");
+    }
+    day.events.sort_by_key(|e| e.0);
+    Ok(day)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_day_is_read_and_its_events_stand_in_order() {
+        let text = "// a day\nday \"lesson\" seed=11 {\n front-ends 20\n engines 10 cores=4\n halls 2\n load rate=480 work=\"100ms\" posts=0.1\n \
+            lasts \"12s\"\n at \"5s\" {\n  split 2\n  kill 1 2\n  stop from=3 to=5\n }\n at \"0s\" { links loss=0.3 delay=\"20ms\"; engine 0 \"fails\" }\n \
+            at \"8s\" {\n heal\n way 1 3 \"held\"\n }\n}\n";
+        let day = read(text).unwrap();
+        assert_eq!(
+            (day.name.as_str(), day.seed, day.fronts, day.engines, day.cores),
+            ("lesson", 11, 20, 10, 4.0)
+        );
+        assert_eq!((day.rate, day.work_ms, day.posts, day.lasts.as_secs()), (480.0, 100.0, 0.1, 12));
+        let events: Vec<_> = day.events.iter().map(|e| e.1.clone()).collect();
+        let links = Fault { loss: 0.3, delay: Duration::from_millis(20), ..Fault::default() };
+        assert_eq!(events[..3], [Event::Links(links), Event::Engine(0, Mood::Fails), Event::Split(2)]);
+        assert_eq!(
+            events[3..],
+            [Event::Kill(vec![1, 2]), Event::Stop(vec![3, 4, 5]), Event::Heal, Event::Way(1, 3, Way::Held)]
+        );
+    }
+
+    #[test]
+    fn faults_name_their_line() {
+        let head = "day \"x\" {\n front-ends 4\n engines 2\n";
+        let cases = [
+            (" fronts 3\n}", 4, "unknown setting 'fronts'"),
+            (" at \"soon\" { heal }\n}", 4, "a time such as"),
+            (" at \"1s\" {\n  engine 7 \"fails\"\n }\n}", 5, "no engine 7, but 0 to 1"),
+            (" at \"1s\" {\n  engine 1 \"ill\"\n }\n}", 5, "\"well\", \"fails\""),
+            (" at \"1s\" {\n\n  kill 4\n }\n}", 6, "from 0 to 3"),
+            (" at \"1s\" { explode }\n}", 4, "unknown event 'explode'"),
+            (" load rat=3\n}", 4, "knows no 'rat'"),
+            (" at \"1s\" { way 0 0 \"held\" }\n}", 4, "no hall 0"),
+            (" peers \"maybe\"\n}", 4, "\"on\" or \"off\""),
+        ];
+        for (rest, line, what) in cases {
+            let fault = read(&format!("{head}{rest}")).unwrap_err();
+            assert!(fault.line == line && fault.what.contains(what), "{rest:?}: {fault}");
+        }
+        assert_eq!(read("day \"x\" {\n front-ends 4\n}").unwrap_err().line, 1);
+        assert!(read("night").is_err());
+    }
+}
--- /dev/null
+++ b/fleet/src/fault.rs
@@ -0,0 +1,186 @@
+//! What a link does to datagrams, drawn from a seed; and the counts of what really struck.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use std::fmt;
+use std::time::Duration;
+
+/// How one direction of a link behaves. The usual one adds nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Fault {
+    /// Nothing passes.
+    pub cut: bool,
+    /// Shares of datagrams that are lost, come twice, come garbled.
+    pub loss: f64,
+    pub twice: f64,
+    pub garbled: f64,
+    /// All are late by this, and by an exponential draw of this mean on top, so that they overtake each other.
+    pub delay: Duration,
+    pub jitter: Duration,
+}
+
+impl Fault {
+    pub fn lossy(loss: f64) -> Self {
+        Self { loss, ..Self::default() }
+    }
+
+    pub fn cut() -> Self {
+        Self { cut: true, ..Self::default() }
+    }
+
+    pub fn late(delay: Duration, jitter: Duration) -> Self {
+        Self { delay, jitter, ..Self::default() }
+    }
+}
+
+/// What struck, over a whole run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Struck {
+    pub passed: u64,
+    pub cut: u64,
+    pub lost: u64,
+    pub twice: u64,
+    pub garbled: u64,
+    pub late: u64,
+    /// From nobody that the rig knows.
+    pub unknown: u64,
+    pub killed: u64,
+    pub stopped: u64,
+    pub woken: u64,
+    pub restarted: u64,
+    pub connections_cut: u64,
+    pub connections_reset: u64,
+    pub engines_turned: u64,
+}
+
+impl Struck {
+    pub fn add(&mut self, other: &Self) {
+        let all = [
+            (&mut self.passed, other.passed),
+            (&mut self.cut, other.cut),
+            (&mut self.lost, other.lost),
+            (&mut self.twice, other.twice),
+            (&mut self.garbled, other.garbled),
+            (&mut self.late, other.late),
+            (&mut self.unknown, other.unknown),
+            (&mut self.killed, other.killed),
+            (&mut self.stopped, other.stopped),
+            (&mut self.woken, other.woken),
+            (&mut self.restarted, other.restarted),
+            (&mut self.connections_cut, other.connections_cut),
+            (&mut self.connections_reset, other.connections_reset),
+            (&mut self.engines_turned, other.engines_turned),
+        ];
+        all.into_iter().for_each(|(sum, more)| *sum += more);
+    }
+}
+
+impl fmt::Display for Struck {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "datagrams passed {} cut {} lost {} twice {} garbled {} late {} of strangers {}; processes killed {} \
+             stopped {} woken {} restarted {}; connections held {} reset {}; engines turned {}",
+            self.passed,
+            self.cut,
+            self.lost,
+            self.twice,
+            self.garbled,
+            self.late,
+            self.unknown,
+            self.killed,
+            self.stopped,
+            self.woken,
+            self.restarted,
+            self.connections_cut,
+            self.connections_reset,
+            self.engines_turned
+        )
+    }
+}
+
+/// Draws what becomes of each datagram.
+pub struct Dice(StdRng);
+
+impl Dice {
+    pub fn new(seed: u64) -> Self {
+        Self(StdRng::seed_from_u64(seed))
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.0.random::<f64>() < share
+    }
+
+    /// Copies of a datagram and how late each is.
+    pub fn throw(&mut self, fault: &Fault, bytes: &[u8], struck: &mut Struck) -> Vec<(Duration, Vec<u8>)> {
+        if fault.cut {
+            struck.cut += 1;
+            return Vec::new();
+        }
+        if self.chance(fault.loss) {
+            struck.lost += 1;
+            return Vec::new();
+        }
+        let copies = if self.chance(fault.twice) { 2 } else { 1 };
+        struck.twice += copies - 1;
+        let mut thrown = Vec::new();
+        for _ in 0..copies {
+            let mut bytes = bytes.to_vec();
+            if self.chance(fault.garbled) && !bytes.is_empty() {
+                let at = self.0.random_range(0..bytes.len());
+                bytes[at] ^= 1 << self.0.random_range(0..8);
+                struck.garbled += 1;
+            }
+            let mut delay = fault.delay;
+            if !fault.jitter.is_zero() {
+                let more = Exp::new(1.0 / fault.jitter.as_secs_f64()).unwrap().sample(&mut self.0);
+                delay += Duration::from_secs_f64(more);
+            }
+            struck.late += u64::from(!delay.is_zero());
+            struck.passed += 1;
+            thrown.push((delay, bytes));
+        }
+        thrown
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_dice_do_what_the_fault_says_and_count_it() {
+        let (mut dice, mut struck) = (Dice::new(7), Struck::default());
+        let fault = Fault {
+            loss: 0.3,
+            twice: 0.1,
+            garbled: 0.05,
+            delay: Duration::from_millis(20),
+            jitter: Duration::from_millis(10),
+            ..Fault::default()
+        };
+        let thrown: Vec<_> = (0..10_000).flat_map(|_| dice.throw(&fault, &[7; 20], &mut struck)).collect();
+        let near = |found: u64, wanted: f64| (found as f64 - wanted).abs() < 0.1 * wanted;
+        assert!(
+            near(struck.lost, 3_000.0) && near(struck.twice, 700.0) && near(struck.garbled, 385.0),
+            "{struck}"
+        );
+        assert_eq!(thrown.len() as u64, struck.passed);
+        let garbled = thrown.iter().filter(|t| t.1 != [7; 20]).count();
+        assert_eq!(garbled as u64, struck.garbled);
+        let mean = thrown.iter().map(|t| t.0.as_secs_f64()).sum::<f64>() / thrown.len() as f64;
+        assert!((mean - 0.030).abs() < 0.001, "{mean}");
+    }
+
+    #[test]
+    fn a_link_without_a_fault_adds_nothing() {
+        let (mut dice, mut struck) = (Dice::new(7), Struck::default());
+        assert_eq!(
+            dice.throw(&Fault::default(), b"as it was", &mut struck),
+            [(Duration::ZERO, b"as it was".to_vec())]
+        );
+        assert_eq!(struck, Struck { passed: 1, ..Struck::default() });
+        assert!(dice.throw(&Fault::cut(), b"x", &mut struck).is_empty() && struck.cut == 1);
+    }
+}
--- /dev/null
+++ b/fleet/src/load.rs
@@ -0,0 +1,177 @@
+//! A thin open-loop load on many front ends: arrivals at each are drawn from a seed and wait for nobody.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use reedwalk_standins::driver::{End, Line};
+use reedwalk_standins::mysql::packet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::time::timeout_at;
+
+/// Sessions kept open to a front end at most; more are opened for what comes at once, and closed after it.
+const KEPT: usize = 4;
+
+/// What is asked for.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Requests a second at each front end.
+    pub rates: Vec<f64>,
+    /// Shares of lookups, statements and keyed posts.
+    pub shares: [f64; 3],
+    /// Median of the work in milliseconds on one core, and the spread of its logarithm.
+    pub work_ms: f64,
+    pub spread: f64,
+    pub patience_ms: u64,
+    pub seed: u64,
+}
+
+impl Load {
+    /// So many lookups a second at each of so many front ends.
+    pub fn lookups(fronts: usize, rate: f64, work_ms: f64, seed: u64) -> Self {
+        let (rates, shares) = (vec![rate; fronts], [1.0, 0.0, 0.0]);
+        Self { rates, shares, work_ms, spread: 0.5, patience_ms: 4_000, seed }
+    }
+}
+
+/// One request as its client saw it.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub at: Instant,
+    pub front: usize,
+    pub trace: String,
+    pub key: Option<String>,
+    pub end: End,
+    pub took: Duration,
+}
+
+/// A load that is running, or has.
+#[derive(Clone)]
+pub struct Playing {
+    pub seen: Arc<Mutex<Vec<Asked>>>,
+    addresses: Arc<Mutex<Vec<Option<SocketAddr>>>>,
+    on: Arc<watch::Sender<bool>>,
+    open: Arc<std::sync::atomic::AtomicUsize>,
+}
+
+const CLASSES: [(&str, f64); 3] = [("lookup", 1.0), ("statement", 3.0), ("batch-post", 2.0)];
+
+impl Load {
+    /// Plays until it is ended, on the runtime of this handle.
+    pub fn play(&self, addresses: &[SocketAddr], runtime: &Handle) -> Playing {
+        let addresses = addresses.iter().copied().map(Some).collect();
+        let playing = Playing {
+            seen: Arc::default(),
+            addresses: Arc::new(Mutex::new(addresses)),
+            on: Arc::new(watch::channel(true).0),
+            open: Arc::default(),
+        };
+        for front in 0..self.rates.len() {
+            runtime.spawn(at_one(self.clone(), front, playing.clone()));
+        }
+        playing
+    }
+}
+
+impl Playing {
+    /// Clients go to this front end here from now on, or to it no more.
+    pub fn place(&self, front: usize, address: Option<SocketAddr>) {
+        self.addresses.lock().unwrap()[front] = address;
+    }
+
+    /// Ends it, and waits until the last request has its end.
+    pub fn end(&self) -> Vec<Asked> {
+        self.on.send_replace(false);
+        let by = Instant::now() + Duration::from_secs(15);
+        while self.open.load(std::sync::atomic::Ordering::Acquire) > 0 {
+            assert!(Instant::now() < by, "requests that never end");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+type Lines = Arc<Mutex<Vec<(SocketAddr, Line)>>>;
+
+async fn at_one(load: Load, front: usize, playing: Playing) {
+    use std::sync::atomic::Ordering;
+    let mut rng = StdRng::seed_from_u64(load.seed ^ (front as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15));
+    if load.rates[front] <= 0.0 {
+        return;
+    }
+    let gap = Exp::new(load.rates[front]).unwrap();
+    let work = LogNormal::new(load.work_ms.ln(), load.spread).unwrap();
+    let lines = Lines::default();
+    let mut next = tokio::time::Instant::now();
+    let mut on = playing.on.subscribe();
+    loop {
+        next += Duration::from_secs_f64(gap.sample(&mut rng));
+        let mut left = rng.random::<f64>() * load.shares.iter().sum::<f64>();
+        let class = load.shares.iter().position(|s| {
+            left -= s;
+            left < 0.0
+        });
+        let (class, work, number) = (class.unwrap_or(0), work.sample(&mut rng), rng.random::<u64>());
+        tokio::select! {
+            () = tokio::time::sleep_until(next) => {}
+            _ = on.wait_for(|on| !*on) => return,
+        }
+        let Some(address) = playing.addresses.lock().unwrap()[front] else { continue };
+        let (lines, playing, patience) = (lines.clone(), playing.clone(), load.patience_ms);
+        playing.open.fetch_add(1, Ordering::AcqRel);
+        tokio::spawn(async move {
+            let asked = one(address, front, class, work, number, patience, lines).await;
+            playing.seen.lock().unwrap().push(asked);
+            playing.open.fetch_sub(1, Ordering::AcqRel);
+        });
+    }
+}
+
+async fn one(
+    address: SocketAddr,
+    front: usize,
+    class: usize,
+    work: f64,
+    number: u64,
+    patience: u64,
+    lines: Lines,
+) -> Asked {
+    let (route, threads) = CLASSES[class];
+    let trace = format!("{number:016x}");
+    let key = (route == "batch-post").then(|| format!("{number:032x}"));
+    let nonce = key.as_ref().map_or(String::new(), |k| format!(",nonce={k}"));
+    let text = format!(
+        "/* route={route},trace={trace},patience={patience}{nonce},weight={work:.1},space=16 */ \
+         SELECT a, b, c FROM sales_{}.orders WHERE WORK {work:.3} THREADS {threads} ",
+        number % 64,
+    );
+    let query = packet(0, &[&[3], text.as_bytes()].concat());
+    let (at, until) = (Instant::now(), tokio::time::Instant::now() + Duration::from_millis(patience + 500));
+    let kept = {
+        let mut lines = lines.lock().unwrap();
+        lines.retain(|l| l.0 == address && !l.1.closed());
+        lines.pop()
+    };
+    let ask = async {
+        let mut line = match kept {
+            Some((_, line)) => line,
+            None => Line::open(address).await?,
+        };
+        let end = line.ask(&query).await?;
+        Some((line, end))
+    };
+    let end = match timeout_at(until, ask).await.ok().flatten() {
+        Some((line, end)) => {
+            let mut lines = lines.lock().unwrap();
+            if lines.len() < KEPT {
+                lines.push((address, line));
+            }
+            end
+        }
+        None => End::Lost,
+    };
+    Asked { at, front, trace, key, end, took: at.elapsed() }
+}
--- /dev/null
+++ b/fleet/src/rig.rs
@@ -0,0 +1,345 @@
+//! A whole fleet: front ends, engines, the ways between them, a load, and what was seen.
+
+use crate::fault::Struck;
+use crate::hostile::Hostile;
+use crate::load::{Load, Playing};
+use crate::process::{FrontEnd, Program, Told};
+use crate::tcp::{Flow, TcpRelay};
+use crate::udp::PeerNet;
+use reedwalk_standins::model::Shape;
+use reedwalk_standins::record::Record;
+use reedwalk_standins::resp::{Modelled, Mood, modelled};
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::runtime::Handle;
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub program: PathBuf,
+    pub fronts: usize,
+    pub engines: usize,
+    pub shape: Shape,
+    pub seed: u64,
+    /// Front ends know each other.
+    pub peers: bool,
+    /// They sign with this key.
+    pub key: Option<Vec<u8>>,
+    /// More of their operator's file, in its `peers` block.
+    pub more: String,
+    /// Engines are reached through relays, one for each hall of front ends.
+    pub halls: usize,
+    /// All engines start with the fleet, and are cold.
+    pub cold: bool,
+    /// Places in the tier that are left to a hostile peer.
+    pub left_out: Vec<usize>,
+}
+
+impl Setup {
+    pub fn new(program: impl Into<PathBuf>, fronts: usize, engines: usize, seed: u64) -> Self {
+        Self {
+            program: program.into(),
+            fronts,
+            engines,
+            shape: Shape { cores: 8.0, ..Shape::default() },
+            seed,
+            peers: true,
+            key: None,
+            more: String::new(),
+            halls: 0,
+            cold: false,
+            left_out: Vec::new(),
+        }
+    }
+}
+
+/// A runtime in a thread of its own, for as long as this lives.
+struct Apart {
+    handle: Handle,
+    end: Option<tokio::sync::oneshot::Sender<()>>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Apart {
+    fn new() -> Self {
+        let (end, ended) = tokio::sync::oneshot::channel::<()>();
+        let (send, receive) = std::sync::mpsc::channel();
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            send.send(runtime.handle().clone()).unwrap();
+            let _ = runtime.block_on(ended);
+            // What was spawned on it ends with it.
+        });
+        Self { handle: receive.recv().unwrap(), end: Some(end), thread: Some(thread) }
+    }
+}
+
+impl Drop for Apart {
+    fn drop(&mut self) {
+        drop(self.end.take());
+        let _ = self.thread.take().map(std::thread::JoinHandle::join);
+    }
+}
+
+/// A folder that goes with its owner.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("reedwalk-fleet-{}-{number}", std::process::id()));
+        std::fs::DirBuilder::new().mode(0o700).create(&path).unwrap();
+        Self(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A fleet that is up. What is dropped last ends last: processes before the runtimes and the folder.
+pub struct Rig {
+    pub setup: Setup,
+    pub fronts: Vec<Option<FrontEnd>>,
+    pub engines: Vec<Modelled>,
+    pub net: PeerNet,
+    pub record: Record,
+    /// By hall, then by engine.
+    pub relays: Vec<Vec<TcpRelay>>,
+    pub playing: Option<Playing>,
+    pub hostile: Option<Hostile>,
+    pub began: Instant,
+    struck: Struck,
+    around: Apart,
+    clients: Apart,
+    folder: Folder,
+}
+
+/// The id of an engine of the rig.
+pub fn engine_id(engine: usize) -> String {
+    format!("s-{engine}")
+}
+
+/// The list of engines that a front end starts with.
+fn known(engines: &[SocketAddr], started_ms: u64) -> Value {
+    let server = |(n, addr): (usize, &SocketAddr)| {
+        json!({"id": engine_id(n), "addr": addr.to_string(), "zone": "hall-a", "kind": "std-8c", "cell": 1,
+            "state": "in_service", "weight": 1, "started_ms": started_ms})
+    };
+    let servers: Vec<_> = engines.iter().enumerate().map(server).collect();
+    json!({"seq": 1, "results": [{"seq": 1, "fleet": {"version": 1, "full": true, "servers": servers}}]})
+}
+
+impl Rig {
+    /// Starts it all, and waits until all front ends serve.
+    pub fn start(setup: Setup) -> Self {
+        let (around, clients, folder) = (Apart::new(), Apart::new(), Folder::new());
+        let record = Record::default();
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        let started_ms = if setup.cold { unix } else { 0 };
+        let engines: Vec<_> = (0..setup.engines)
+            .map(|n| {
+                let (name, shape, record) = (engine_id(n), setup.shape.clone(), record.clone());
+                let (send, receive) = std::sync::mpsc::channel();
+                around
+                    .handle
+                    .spawn(async move { send.send(modelled(&name, Some(shape), record).await).ok() });
+                receive.recv().unwrap()
+            })
+            .collect();
+        let net = PeerNet::open(setup.fronts, setup.seed, &around.handle);
+        let relays: Vec<Vec<_>> = (0..setup.halls)
+            .map(|_| engines.iter().map(|e| TcpRelay::open(e.address, &around.handle)).collect())
+            .collect();
+        let operator = setup.peers.then(|| {
+            let key = setup.key.as_ref().map_or(String::new(), |key| {
+                let path = folder.0.join("peers.key");
+                let file = std::fs::OpenOptions::new()
+                    .write(true)
+                    .create(true)
+                    .truncate(true)
+                    .mode(0o600)
+                    .open(&path);
+                file.unwrap().write_all(key).unwrap();
+                format!("  key {:?}\n", path.display().to_string())
+            });
+            format!("peers {{\n{key}{}}}\n", setup.more)
+        });
+        let program = Program { path: setup.program.clone(), folder: folder.0.clone() };
+        let fronts = (0..setup.fronts).map(|number| {
+            if setup.left_out.contains(&number) {
+                return None;
+            }
+            let addresses: Vec<_> = match relays.get(number % setup.halls.max(1)) {
+                Some(hall) => hall.iter().map(|r| r.address).collect(),
+                None => engines.iter().map(|e| e.address).collect(),
+            };
+            let told = Told {
+                number,
+                count: setup.fronts,
+                known: known(&addresses, started_ms),
+                names: None,
+                peers: net.addresses.to_vec(),
+                operator: operator.clone(),
+                seed: setup.seed.wrapping_mul(1_000_003) + number as u64,
+            };
+            Some(FrontEnd::new(program.clone(), told))
+        });
+        let (fronts, playing, hostile) = (fronts.collect(), None, None);
+        let struck = Struck::default();
+        let mut rig = Self {
+            setup,
+            fronts,
+            engines,
+            net,
+            record,
+            relays,
+            playing,
+            hostile,
+            began: Instant::now(),
+            struck,
+            around,
+            clients,
+            folder,
+        };
+        let all: Vec<_> = (0..rig.fronts.len()).filter(|n| rig.fronts[*n].is_some()).collect();
+        rig.bring_up(&all);
+        rig
+    }
+
+    fn bring_up(&mut self, which: &[usize]) {
+        for &n in which {
+            self.fronts[n].as_mut().expect("a front end").start();
+        }
+        for &n in which {
+            let front = self.fronts[n].as_mut().expect("a front end");
+            front.ready();
+            front.peer.into_iter().for_each(|real| self.net.place(n, real));
+            self.playing.iter().for_each(|p| p.place(n, Some(front.address)));
+        }
+    }
+
+    pub fn front(&self, number: usize) -> &FrontEnd {
+        self.fronts[number].as_ref().expect("a front end")
+    }
+
+    /// All front ends that there are.
+    pub fn all(&self) -> impl Iterator<Item = &FrontEnd> {
+        self.fronts.iter().flatten()
+    }
+
+    /// Clients ask from now on.
+    pub fn play(&mut self, load: &Load) {
+        let none = "127.0.0.1:9".parse().unwrap();
+        let addresses: Vec<_> = self.fronts.iter().map(|f| f.as_ref().map_or(none, |f| f.address)).collect();
+        let playing = load.play(&addresses, &self.clients.handle);
+        for &n in &self.setup.left_out {
+            playing.place(n, None);
+        }
+        self.playing = Some(playing);
+    }
+
+    /// A hostile peer takes its place.
+    pub fn hostile(&mut self, number: usize, key: Option<&[u8]>) -> &mut Hostile {
+        let hostile = Hostile::new(number, &self.net.addresses, key, self.setup.seed);
+        self.net.place(number, hostile.address);
+        self.hostile.insert(hostile)
+    }
+
+    pub fn turn(&mut self, engine: usize, mood: Mood) {
+        self.struck.engines_turned += 1;
+        self.engines[engine].mood(mood);
+    }
+
+    /// Ends these at once, and nothing else of them is heard; their clients stay away until they are back.
+    pub fn kill(&mut self, which: &[usize]) {
+        for &n in which {
+            self.playing.iter().for_each(|p| p.place(n, None));
+            self.struck.killed += u64::from(self.fronts[n].as_mut().expect("a front end").kill());
+        }
+    }
+
+    pub fn restart(&mut self, which: &[usize]) {
+        self.bring_up(which);
+        self.struck.restarted += which.len() as u64;
+    }
+
+    pub fn stop(&mut self, which: &[usize]) {
+        self.struck.stopped += which.iter().filter(|n| self.front(**n).stop()).count() as u64;
+    }
+
+    pub fn wake(&mut self, which: &[usize]) {
+        self.struck.woken += which.iter().filter(|n| self.front(**n).wake()).count() as u64;
+    }
+
+    /// How front ends of a hall reach an engine.
+    pub fn flow(&self, hall: usize, engine: usize, flow: Flow) {
+        self.relays[hall][engine].set(flow);
+    }
+
+    /// What struck so far.
+    pub fn struck(&self) -> Struck {
+        let mut struck = self.struck;
+        struck.add(&self.net.struck());
+        for (held, reset) in self.relays.iter().flatten().map(TcpRelay::struck) {
+            struck.connections_cut += held;
+            struck.connections_reset += reset;
+        }
+        struck
+    }
+
+    /// Panics where a process has ended by itself.
+    pub fn check_crashes(&mut self) {
+        let crashed: Vec<_> = self.fronts.iter_mut().flatten().filter_map(FrontEnd::crashed).collect();
+        assert!(crashed.is_empty(), "{crashed:?}");
+    }
+
+    /// Waits until this holds of the fleet; a run that waits in vain fails.
+    pub fn until(&self, what: &str, by: Duration, holds: impl Fn(&Self) -> bool) -> Duration {
+        let began = Instant::now();
+        while !holds(self) {
+            assert!(began.elapsed() < by, "waited {by:?} in vain until {what}; {}", self.struck());
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        began.elapsed()
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Duration) {
+        std::thread::sleep(span);
+        self.check_crashes();
+    }
+
+    /// Attempts that arrived at an engine from then on.
+    pub fn attempts_since(&self, engine: usize, since: Instant) -> usize {
+        let id = engine_id(engine);
+        let began = |s: &reedwalk_standins::record::Seen| {
+            s.engine == id && s.at >= since && matches!(s.what, reedwalk_standins::record::What::Began { .. })
+        };
+        self.record.all().iter().filter(|s| began(s)).count()
+    }
+
+    /// The figures of a front end, by name.
+    pub fn figures(&self, number: usize) -> HashMap<String, u64> {
+        self.around.handle.block_on(reedwalk_standins::console::figures(self.front(number).console))
+    }
+
+    /// Where what surrounds the front ends runs.
+    pub fn runtime(&self) -> &Handle {
+        &self.around.handle
+    }
+
+    /// Where the files of this fleet are.
+    pub fn folder(&self) -> &std::path::Path {
+        &self.folder.0
+    }
+}
--- a/gateway/src/broker/message.rs
+++ b/gateway/src/broker/message.rs
@@ -125,6 +125,28 @@
     pub statement: Bytes,
 }
 
+/// What this front end has found of an engine by its own traffic; others may hear of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// Which engine.
+    pub engine: EngineId,
+    /// What.
+    pub what: Found,
+    /// Until when it is left alone; now, where it is not.
+    pub until: Instant,
+}
+
+/// What was found of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// It fails, and is left alone.
+    Fails,
+    /// It says nothing, and is left alone.
+    Silent,
+    /// One attempt there has failed.
+    Erred,
+}
+
 /// Names one attempt, over all requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct AttemptKey(pub u64);
@@ -206,6 +228,10 @@
     Claimed(RequestId, Option<(Claimed, bool)>),
     /// Whether an attempt's mark was written in the shared store.
     Marked(AttemptKey, Sent, Option<bool>),
+    /// Several other front ends have found that an engine is to be left alone until then.
+    Hearsay(EngineId, Instant),
+    /// So many front ends are at work.
+    Living(f64),
 }
 
 impl<L: EngineLinks + ?Sized> EngineLinks for Box<L> {
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -47,6 +47,8 @@
     paid: Option<Paid>,
     /// An attempt that has ended may have run.
     ran: bool,
+    /// An engine has answered it with an error; it may be at fault itself.
+    erred: bool,
     attempts: u32,
     out: Vec<(AttemptNo, AttemptKey)>,
     memory_mb: Option<f64>,
@@ -94,6 +96,8 @@
     pub part: watch::Receiver<Part>,
     /// The store in which front ends share the keys of requests, if they do.
     pub keys: Option<Arc<Link>>,
+    /// Where other front ends hear of what is found here, if they do.
+    pub findings: Option<mpsc::Sender<Finding>>,
 }
 
 /// The one owner of the decision module.
@@ -234,6 +238,11 @@
                 self.answer(id, Answer::Refused { why: Refusal::Budget, retry_after: Some(after) });
                 self.settle(id);
             }
+            Input::Hearsay(engine, until) => {
+                let lasts = until.saturating_duration_since(now);
+                self.pending.push(Event::Hearsay { engine, lasts });
+            }
+            Input::Living(count) => self.pending.push(Event::Living(count)),
             Input::News(key, News::Noted(note)) => {
                 if let Some(out) = self.attempts.get(&key) {
                     self.pending.push(Event::Noted { request: out.request, attempt: out.number, note });
@@ -277,6 +286,7 @@
             reply,
             paid: None,
             ran: false,
+            erred: false,
             attempts: 0,
             out: Vec::new(),
             memory_mb: None,
@@ -384,6 +394,11 @@
             open.out.retain(|o| o.1 != key);
             open.ran |= !end.outcome.never_ran();
             closed = open.reply.is_none();
+            let again = end.outcome == Outcome::Error && std::mem::replace(&mut open.erred, true);
+            let failed = matches!(end.outcome, Outcome::Error | Outcome::Reset | Outcome::ConnectFailed);
+            if failed && !again {
+                self.tell(Finding { engine: out.engine, what: Found::Erred, until: Instant::now() });
+            }
         }
         self.keys.iter_mut().for_each(|k| k.ended(out.request, key, !end.outcome.never_ran()));
         if let (Outcome::Ok, Some(rows)) = (end.outcome, end.rows) {
@@ -526,6 +541,11 @@
                 }
             }
             Action::Wake(after) => self.wake = Some(now + after),
+            Action::Suspect { engine, silent, lasts } => {
+                let (word, what) = if silent { ("silent", Found::Silent) } else { ("fails", Found::Fails) };
+                info!(self.log, "module"; "says" => format!("quarantine engine {} {word}", engine.0));
+                self.tell(Finding { engine, what, until: now + lasts });
+            }
             Action::Log(line) => info!(self.log, "module"; "says" => line),
             // Engines may not be probed here, and the names are asked for whether the module does or not.
             Action::Probe(engine) => warn!(self.log, "probe not allowed"; "engine" => engine.0),
@@ -583,6 +603,11 @@
         Ok(())
     }
 
+    /// Lets other front ends hear of it. Where the line is full, they do when it is found again.
+    fn tell(&self, finding: Finding) {
+        self.shared.findings.iter().for_each(|f| _ = f.try_send(finding));
+    }
+
     /// A line of counts, every second in which something was taken or answered.
     fn report(&mut self, now: Instant) {
         if now - self.told.0 >= Duration::from_secs(1) {
--- a/gateway/src/cli.rs
+++ b/gateway/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::config::{self, Config, ConfigError, Surroundings};
 use crate::console;
 use crate::operator::{Operator, Store};
+use crate::peers;
 use crate::serve;
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use std::ffi::OsString;
@@ -61,6 +62,10 @@
     if let (Err(fault), Some(path)) = (operator.check(&config.limits), &options.operator) {
         return Err(ConfigError::Operator(path.clone(), fault).to_string());
     }
+    let tier = operator.peers.as_ref().map(|terms| peers::tier(terms, &config));
+    if let (Some(Err(fault)), Some(path)) = (tier, &options.operator) {
+        return Err(ConfigError::Operator(path.clone(), fault).to_string());
+    }
     Ok((config, operator))
 }
 
@@ -93,6 +98,18 @@
                 Store::Memory => println!("store: in memory"),
                 Store::Redis(_, terms) => println!("store: Redis, {terms:?}"),
             }
+            match operator.peers.as_ref().map(|terms| peers::tier(terms, &config)) {
+                None => println!("peers: off"),
+                Some(Ok(Some(tier))) => {
+                    let (count, listen, most) = (tier.addresses.len(), tier.listen, tier.bytes_most());
+                    println!(
+                        "peers: number {} of {count}, listens on {listen}, {}, at most {most} bytes a second",
+                        tier.me,
+                        tier.signed()
+                    );
+                }
+                Some(_) => println!("peers: off, the settings allow no messages between front ends"),
+            }
             match operator.flight {
                 Some(flight) => {
                     println!("flight: listens on {}, engines {:?}", flight.listen, operator.engines)
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -65,6 +65,9 @@
     limits: Limits,
     names: Option<SocketAddr>,
     console: Option<SocketAddr>,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
     known: Option<serde_json::Value>,
     settings: serde_json::Value,
 }
@@ -102,6 +105,10 @@
     pub names: Option<SocketAddr>,
     /// Where operators connect; none, and the console is off.
     pub console: Option<SocketAddr>,
+    /// Where other front ends reach this one, and all of them by their numbers, where the deployment tells.
+    pub peer_listen: Option<SocketAddr>,
+    /// One address for each front end of the tier, this one included.
+    pub peers: Vec<SocketAddr>,
     /// Where files are kept that a process leaves to the next: `TMPDIR`. Used with the console alone.
     pub folder: PathBuf,
     /// The name server's events up to now.
@@ -171,6 +178,8 @@
         name: around.name.unwrap_or(wire.name),
         listen: around.listen.unwrap_or(wire.listen),
         console: around.console.or(wire.console),
+        peer_listen: wire.peer_listen,
+        peers: wire.peers,
         folder: std::env::temp_dir(),
         seed: u64::from_str_radix(seed, 16).map_err(|_| ConfigError::Seed)?,
         limits: wire.limits,
--- a/gateway/src/engine/pool.rs
+++ b/gateway/src/engine/pool.rs
@@ -257,6 +257,7 @@
 
     fn pool(notes: Option<Duration>) -> Pool<Fake> {
         let sockets = Sockets {
+            may_tell: None,
             classes: Vec::new(),
             zones: Vec::new(),
             kinds: Vec::new(),
--- a/gateway/src/figures.rs
+++ b/gateway/src/figures.rs
@@ -4,8 +4,8 @@
 use crate::broker::Answer;
 use reedwalk_core::ClassId;
 use std::fmt::Write;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
 /// How a request ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +47,8 @@
     upstream: AtomicU64,
     members: AtomicU64,
     unavailable: AtomicU64,
+    /// What is told of other front ends; nothing where this one knows of none.
+    peers: Mutex<Vec<(&'static str, u64, char)>>,
 }
 
 /// A request that was taken. Its end is counted once; dropped without one, its client has left.
@@ -110,6 +112,11 @@
         self.unavailable.store(unavailable as u64, Ordering::Relaxed);
     }
 
+    /// What other front ends have to do with this one: names, values, and whether each is a count or what stands now.
+    pub fn set_peers(&self, figures: Vec<(&'static str, u64, char)>) {
+        *self.peers.lock().unwrap_or_else(PoisonError::into_inner) = figures;
+    }
+
     /// Requests taken but not yet ended.
     pub fn pending(&self) -> u64 {
         // The ended first: what ends in between would make it too low, down to below nothing.
@@ -137,6 +144,9 @@
         for (what, value) in stands {
             let _ = writeln!(text, "svc.{what}:{value}|g");
         }
+        for (what, value, kind) in self.peers.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            let _ = writeln!(text, "svc.peers_{what}:{value}|{kind}");
+        }
         text
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod members;
 pub mod names;
 pub mod operator;
+pub mod peers;
 pub mod serve;
 pub mod shutdown;
 pub mod store;
--- a/gateway/src/members/mod.rs
+++ b/gateway/src/members/mod.rs
@@ -108,6 +108,12 @@
         self.inner().book.serial()
     }
 
+    /// Does something for each engine as last told: its id, its number here, its start.
+    pub fn each(&self, mut see: impl FnMut(&str, EngineId, Option<Time>)) {
+        let inner = self.inner();
+        inner.book.named().for_each(|(name, l)| see(name, l.entry.engine, l.entry.started));
+    }
+
     /// Takes in the events known at the start; how many engines they name.
     ///
     /// # Errors
--- a/gateway/src/names/list.rs
+++ b/gateway/src/names/list.rs
@@ -98,6 +98,11 @@
         self.ids.get(name).copied()
     }
 
+    /// The ids of all engines as last told, with what was told.
+    pub fn named(&self) -> impl Iterator<Item = (&str, &Listed)> {
+        self.ids.iter().filter_map(|(name, id)| Some((name.as_str(), self.listed.get(id)?)))
+    }
+
     /// All engines as last told.
     pub fn listed(&self) -> impl Iterator<Item = &Listed> {
         self.listed.values()
--- a/gateway/src/operator/mod.rs
+++ b/gateway/src/operator/mod.rs
@@ -10,6 +10,7 @@
 use crate::config::Limits;
 use crate::contracts::Contract;
 use crate::cores::DESCRIPTORS_A_CORE;
+use crate::peers::Terms as PeersTerms;
 use crate::store::link::Terms;
 use std::net::SocketAddr;
 
@@ -64,6 +65,8 @@
     pub contracts: Option<Vec<Contract>>,
     /// Where budgets are counted.
     pub store: Store,
+    /// How front ends know each other; they don't without it.
+    pub peers: Option<PeersTerms>,
 }
 
 impl Operator {
--- a/gateway/src/operator/read.rs
+++ b/gateway/src/operator/read.rs
@@ -2,6 +2,7 @@
 
 use super::{EngineWire, FLIGHT_CONNECTIONS, FLIGHT_MESSAGE, FlightFront, Operator, Store, units};
 use crate::contracts::Contract;
+use crate::peers::{BYTES_MOST, Terms as PeersTerms};
 use crate::store::link::Terms;
 use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
 use reedwalk_cores::CORES_MOST;
@@ -72,7 +73,12 @@
     fn address(&self, node: &KdlNode) -> Result<SocketAddr, Fault> {
         let expected = "an address such as \"127.0.0.1:8815\"";
         let text = self.text(node, expected)?;
-        text.parse().map_err(|_| self.at(node, format!("'listen' is \"{text}\"; expected {expected}")))
+        self.parse(node, text, expected)
+    }
+
+    fn parse(&self, node: &KdlNode, text: &str, expected: &str) -> Result<SocketAddr, Fault> {
+        let name = node.name().value();
+        text.parse().map_err(|_| self.at(node, format!("'{name}' is \"{text}\"; expected {expected}")))
     }
 
     /// The nodes of a block, each by its name and none twice, unless it is one that may come again.
@@ -184,6 +190,65 @@
         }
     }
 
+    /// How front ends know each other.
+    fn peers(&self, node: &KdlNode) -> Result<PeersTerms, Fault> {
+        if !node.entries().is_empty() {
+            return Err(self.at(node, "'peers' takes a block in braces and nothing else"));
+        }
+        let line = self.at(node, "").line;
+        let (listen, members, keys) = (None, Vec::new(), Vec::new());
+        let mut terms = PeersTerms { line, listen, members, keys, bytes_most: BYTES_MOST, beats: true };
+        let known = ["listen", "member", "key", "bytes-most", "beats"];
+        for node in self.nodes(self.block(node)?, &known, &["member", "key"])? {
+            let line = self.at(node, "").line;
+            match node.name().value() {
+                "listen" => terms.listen = Some(self.address(node)?),
+                "member" => {
+                    let expected = "a front end's name and its address, as in \"n0\" \"10.0.0.4:7946\"";
+                    let words: Option<Vec<_>> = node
+                        .entries()
+                        .iter()
+                        .map(|e| e.value().as_string().filter(|_| e.name().is_none()))
+                        .collect();
+                    let Some([name, address]) = words.as_deref() else {
+                        return Err(self.at(node, format!("'member' takes {expected}")));
+                    };
+                    let address = self.parse(node, address, expected)?;
+                    let twice = |what: &str| self.at(node, format!("a second member {what}"));
+                    if terms.members.iter().any(|m| m.0 == *name) {
+                        return Err(twice(&format!("of the name \"{name}\"")));
+                    }
+                    if terms.members.iter().any(|m| m.1 == address) {
+                        return Err(twice(&format!("at {address}")));
+                    }
+                    terms.members.push(((*name).to_owned(), address));
+                }
+                "beats" => {
+                    terms.beats = match self.text(node, "\"on\" or \"off\"")? {
+                        "on" => true,
+                        "off" => false,
+                        other => {
+                            let what = format!("'beats' is \"{other}\"; expected \"on\" or \"off\"");
+                            return Err(self.at(node, what));
+                        }
+                    };
+                }
+                "key" => terms.keys.push((self.text(node, "the name of a file")?.into(), line)),
+                _ => {
+                    let text = self.text(node, "a size such as \"8KiB\"")?;
+                    let bytes = units::size(text).ok().filter(|b| (512..=1 << 20).contains(b));
+                    let expected = "expected a size from \"512B\" to \"1MiB\", for each second";
+                    let fault = || self.at(node, format!("'bytes-most' is \"{text}\"; {expected}"));
+                    terms.bytes_most = bytes.ok_or_else(fault)? as u32;
+                }
+            }
+        }
+        if terms.keys.len() > 2 {
+            return Err(self.at(node, "at most two keys: the one that signs, and the one before or after it"));
+        }
+        Ok(terms)
+    }
+
     fn terms(&self, block: &KdlDocument) -> Result<Terms, Fault> {
         let mut terms = Terms::default();
         for node in self.nodes(block, &["share-keys", "namespace", "clocks-differ", "wait"], &[])? {
@@ -234,7 +299,7 @@
         lines.fault(first.map_or(0, |d| d.span.offset()), what)
     })?;
     let mut operator = Operator::default();
-    let known = ["cores", "flight", "engines", "contract", "store"];
+    let known = ["cores", "flight", "engines", "contract", "store", "peers"];
     for node in lines.nodes(&document, &known, &["contract"])? {
         match node.name().value() {
             "cores" => {
@@ -253,6 +318,7 @@
                     }
                 };
             }
+            "peers" => operator.peers = Some(lines.peers(node)?),
             "contract" => operator.contracts.get_or_insert_default().push(lines.contract(node)?),
             _ => operator.store = lines.store(node)?,
         }
@@ -305,6 +371,18 @@
             ("store redis=\"redis://h\" {\n wait \"0ms\"\n}", 2, "from 1ms to 1s"),
             ("store redis=\"redis://h\" {\n namespace \"a b\"\n}", 2, "1 to 64 letters"),
             ("store \"memory\" {\n share-keys\n}", 1, "redis="),
+            ("peers 3", 1, "a block in braces"),
+            ("peers {\n gossip\n}", 2, "unknown setting 'gossip'; expected listen, member, key"),
+            ("peers {\n listen \"here\"\n}", 2, "'listen' is \"here\"; expected an address"),
+            ("peers {\n member \"n0\"\n}", 2, "a front end's name and its address"),
+            (
+                "peers {\n member \"a\" \"127.0.0.1:1\"\n member \"a\" \"127.0.0.1:2\"\n}",
+                3,
+                "of the name \"a\"",
+            ),
+            ("peers {\n member \"a\" \"127.0.0.1:1\"\n member \"b\" \"127.0.0.1:1\"\n}", 3, "at 127.0.0.1:1"),
+            ("peers {\n bytes-most \"9B\"\n}", 2, "from \"512B\""),
+            ("cores 2\npeers {\n key \"a\"\n key \"b\"\n key \"c\"\n}", 2, "at most two keys"),
         ];
         for (text, line, what) in cases {
             let (at, said) = fault(text);
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -14,6 +14,7 @@
 use crate::members::keep::Keep;
 use crate::names::{self, Source, list::Book};
 use crate::operator::{EngineWire, Fault, Operator, Store};
+use crate::peers;
 use crate::shutdown::{Asked, OVERLAP, Phase, Signals};
 use crate::store::link::Link;
 use crate::succession::{MAKES_ROOM, Succession};
@@ -87,6 +88,8 @@
     stage: watch::Sender<Stage>,
     part: watch::Receiver<Part>,
     reloads: Reloads,
+    /// Tells the others' side that this process ends.
+    ends: watch::Sender<bool>,
     ended: mpsc::Receiver<()>,
     cores: Cores,
     /// Answers once the task that judges has ended.
@@ -145,6 +148,11 @@
 /// Where it can't start.
 pub async fn start(config: Config, operator: Operator, log: &Logger) -> Result<Running, ServeError> {
     operator.check(&config.limits).map_err(ServeError::Operator)?;
+    let tier = operator.peers.as_ref().map(|terms| peers::tier(terms, &config)).transpose();
+    let tier = tier.map_err(ServeError::Operator)?.flatten();
+    if operator.peers.is_some() && tier.is_none() {
+        warn!(log, "the settings allow no messages between front ends: peers are off");
+    }
     let (source, sources) = watch::channel(Source { server: config.names, known: None });
     let fixed = Arc::new((config.listen, config.console, config.limits, Arc::new(config.deployment.clone())));
     let reloads = Reloads { source, fixed, log: log.new(o!("part" => "reload")) };
@@ -176,7 +184,10 @@
     });
     let link = link(&operator, window.max().unwrap_or_default(), log)?;
     let keys = link.clone().filter(|l| l.terms().share_keys);
-    let shared = Shared { roll: Roll::default(), figures: figures.clone(), part: part.clone(), keys };
+    let (findings, found) = mpsc::channel(peers::FINDINGS);
+    let findings = tier.is_some().then_some(findings);
+    let shared =
+        Shared { roll: Roll::default(), figures: figures.clone(), part: part.clone(), keys, findings };
     let keep = kept.as_ref().map(|(folder, stem)| Keep::new(folder, stem));
     let members_log = log.new(o!("part" => "members"));
     let gates = Gates::new(deployment.core.rules.drain_grace);
@@ -187,6 +198,19 @@
         info!(log, "start"; "name" => &config.name, "engines" => engines, "serial" => ?members.serial());
     }
     tokio::spawn(members.clone().watch());
+    let (ends, closing) = watch::channel(false);
+    if let Some(tier) = tier {
+        let around = peers::Around {
+            members: members.clone(),
+            queue: queue.clone(),
+            findings: found,
+            sources: sources.clone(),
+            closing,
+            figures: figures.clone(),
+            seed: config.seed,
+        };
+        tokio::spawn(peers::Task::new(tier, around, log.new(o!("part" => "peers"))).run());
+    }
     let health = Health::default();
     let console = match config.console {
         Some(address) => {
@@ -277,6 +301,7 @@
         stage,
         part,
         reloads,
+        ends,
         ended,
         cores,
         unjudged,
@@ -363,6 +388,7 @@
     /// at `by`: until then newcomers have nowhere else to go.
     pub async fn relieved(&self, by: Instant) {
         self.stage.send_replace(Stage::Closing);
+        self.ends.send_replace(true);
         let mut part = self.part.clone();
         let relieved = async {
             if part.wait_for(|p| p.relieved).await.is_err() {
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -33,6 +33,8 @@
         limits: Limits::default(),
         names: None,
         console: None,
+        peer_listen: None,
+        peers: Vec::new(),
         folder: folder(),
         known: Some(known(engines)),
         deployment: reedwalk_settings::read(&settings()).unwrap(),
--- /dev/null
+++ b/peers/src/alive.rs
@@ -0,0 +1,143 @@
+//! Who lives. Every front end tells the time of its latest sign of life; others pass on the latest that they have heard
+//! of, and the later one holds. So nobody can be talked dead; who is talked alive only makes the others count him as
+//! they would without any of this.
+
+use crate::{Millis, PeerId};
+
+/// The part of the pool that front ends reckon with grows by at most this share a second as others die.
+const GROWS: f64 = 0.1;
+/// Fewer than this share of the told number are never reckoned with, whatever was heard.
+pub const LEAST_SHARE: f64 = 0.2;
+/// A sign of life may be ahead of our own clock by this.
+pub(crate) const AHEAD: Millis = 2_000;
+
+#[derive(Clone, Copy, Debug)]
+struct Life {
+    /// Latest sign of life in tenths of a second of its own clock; 0 for none.
+    beat: u64,
+    /// When that reached us.
+    since: Millis,
+}
+
+/// What is known of who lives.
+#[derive(Clone, Debug)]
+pub struct Alive {
+    me: PeerId,
+    /// Without a later sign of life for so long, a front end is taken for dead.
+    dead_after: Millis,
+    lives: Vec<Life>,
+    /// The number that is reckoned with.
+    counted: f64,
+    at: Millis,
+}
+
+impl Alive {
+    /// Nothing was heard yet: all are taken for alive until they have had their time.
+    pub fn new(me: PeerId, count: usize, dead_after: Millis, now: Millis) -> Self {
+        Self {
+            me,
+            dead_after,
+            lives: vec![Life { beat: 0, since: now }; count],
+            counted: count as f64,
+            at: now,
+        }
+    }
+
+    /// A sign of life of this time, in tenths of a second; is it news?
+    pub(crate) fn beat(&mut self, peer: PeerId, beat: u64, now: Millis) -> bool {
+        // No clock of ours is so far behind: it would stand in the way of the true ones.
+        if beat > (now + AHEAD) / 100 || peer == self.me {
+            return false;
+        }
+        match self.lives.get_mut(usize::from(peer)) {
+            Some(life) if beat > life.beat => {
+                *life = Life { beat, since: now };
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// This process stood still for so long: the others were not silent, we were deaf.
+    pub fn slept(&mut self, for_long: Millis) {
+        self.lives.iter_mut().for_each(|l| l.since += for_long);
+    }
+
+    /// Does it live, as far as is known?
+    pub fn lives(&self, peer: PeerId, now: Millis) -> bool {
+        let life = self.lives.get(usize::from(peer));
+        peer == self.me || life.is_some_and(|l| now.saturating_sub(l.since) < self.dead_after)
+    }
+
+    /// The latest sign of life and when it came; none where nothing was ever heard.
+    pub(crate) fn latest(&self, peer: PeerId) -> Option<(u64, Millis)> {
+        self.lives.get(usize::from(peer)).filter(|l| l.beat > 0).map(|l| (l.beat, l.since))
+    }
+
+    /// How many live, this one included.
+    pub fn living(&self, now: Millis) -> usize {
+        (0..self.lives.len()).filter(|p| self.lives(*p as PeerId, now)).count()
+    }
+
+    /// The number of front ends to reckon with: up at once as some come back, down slowly as some die.
+    pub fn counted(&mut self, now: Millis) -> f64 {
+        let told = self.lives.len() as f64;
+        let living = (self.living(now) as f64).max(told * LEAST_SHARE);
+        let passed = now.saturating_sub(self.at) as f64 / 1000.0;
+        self.at = self.at.max(now);
+        self.counted = living.max(self.counted * (1.0 - GROWS).powf(passed));
+        self.counted
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const DEAD_AFTER: Millis = 5_000;
+
+    #[test]
+    fn the_dead_are_counted_out_slowly_and_the_living_in_at_once() {
+        let mut alive = Alive::new(0, 10, DEAD_AFTER, 0);
+        let beats = |alive: &mut Alive, peers: std::ops::Range<PeerId>, now: Millis| {
+            peers.for_each(|p| _ = alive.beat(p, now / 100 + 1, now));
+        };
+        let mut before = 10.0;
+        for now in (0..60_000).step_by(100) {
+            beats(&mut alive, 1..3, now);
+            let counted = alive.counted(now);
+            assert!(counted >= before * 0.98, "too fast: {before} to {counted}");
+            assert!(now >= DEAD_AFTER || counted == 10.0, "before anybody can be dead");
+            before = counted;
+        }
+        assert_eq!((alive.living(60_000), before), (3, 3.0));
+        beats(&mut alive, 1..10, 60_000);
+        assert_eq!(alive.counted(60_000), 10.0);
+    }
+
+    #[test]
+    fn alone_it_reckons_with_a_share_of_the_told_number() {
+        let mut alive = Alive::new(4, 20, DEAD_AFTER, 0);
+        assert_eq!(alive.counted(600_000), 4.0);
+        assert_eq!(alive.living(600_000), 1);
+    }
+
+    #[test]
+    fn nobody_is_talked_dead_and_a_lie_about_the_future_is_not_taken() {
+        let mut alive = Alive::new(0, 3, DEAD_AFTER, 0);
+        assert!(!alive.beat(1, 1_000_000, 1_000), "far ahead of our clock");
+        assert!(alive.beat(1, 10, 1_000));
+        assert!(!alive.beat(1, 5, 5_900), "an older sign is no news, and takes nothing away");
+        assert!(alive.lives(1, 5_999) && !alive.lives(1, 6_000));
+        assert!(!alive.beat(9, 1, 1) && !alive.beat(0, 1, 1), "no peer, and this one itself");
+    }
+
+    #[test]
+    fn who_has_slept_does_not_take_the_others_for_dead() {
+        let mut alive = Alive::new(0, 2, DEAD_AFTER, 0);
+        alive.beat(1, 1, 100);
+        assert!(!alive.lives(1, 10_100));
+        alive.slept(10_000);
+        assert!(alive.lives(1, 10_100) && !alive.lives(1, 15_100));
+    }
+}
--- /dev/null
+++ b/peers/tests/fleet.rs
@@ -0,0 +1,314 @@
+//! Whole fleets of the pure crate in virtual time, and against what any order, loss and repeat of messages may do.
+
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use reedwalk_peers::{
+    Act, BadDatagram, Datagram, EngineKey, Fact, Key, Keys, Kind, Peers, Setup, dead_after,
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+const BYTES: u32 = 8192;
+const START: u64 = 1_700_000_000_000;
+
+fn listed() -> BTreeMap<EngineKey, u32> {
+    (0..20).map(|n| (EngineKey(n), 0)).collect()
+}
+
+fn one(me: u16, count: usize, now: u64, keys: Keys) -> Peers {
+    let mut peers =
+        Peers::new(Setup { me, count, bytes_most: BYTES, keys, beats: true, seed: u64::from(me) + 1 }, now);
+    peers.engines(&listed());
+    peers
+}
+
+/// A fleet in steps of 10 ms. Datagrams take 1 to 60 ms; a share is lost.
+struct Fleet {
+    now: u64,
+    all: Vec<Option<Peers>>,
+    under_way: BTreeMap<(u64, u64), (u16, u16, Vec<u8>)>,
+    number: u64,
+    loss: f64,
+    rng: StdRng,
+    heard: Vec<BTreeSet<EngineKey>>,
+    sent: Vec<u64>,
+}
+
+impl Fleet {
+    fn new(count: usize, loss: f64, seed: u64) -> Self {
+        Self {
+            now: START,
+            all: (0..count).map(|n| Some(one(n as u16, count, START, Keys::default()))).collect(),
+            under_way: BTreeMap::new(),
+            number: 0,
+            loss,
+            rng: StdRng::seed_from_u64(seed),
+            heard: vec![BTreeSet::new(); count],
+            sent: vec![0; count],
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += 10;
+        while let Some(first) = self.under_way.first_entry().filter(|e| e.key().0 <= self.now) {
+            let (from, to, bytes) = first.remove();
+            if let Some(peer) = &mut self.all[usize::from(to)] {
+                let _ = peer.receive(Some(from), &bytes, self.now);
+            }
+        }
+        let mut acts = Vec::new();
+        for (n, peer) in self.all.iter_mut().enumerate() {
+            let Some(peer) = peer else { continue };
+            peer.act(self.now, &mut acts);
+            for act in acts.drain(..) {
+                match act {
+                    Act::Send(to, bytes) => {
+                        assert!(bytes.len() <= 256);
+                        self.sent[n] += bytes.len() as u64;
+                        if self.rng.random::<f64>() >= self.loss {
+                            let at = self.now + self.rng.random_range(1..=60);
+                            self.number += 1;
+                            self.under_way.insert((at, self.number), (n as u16, to, bytes));
+                        }
+                    }
+                    Act::Hear(belief) => {
+                        assert!(belief.until > self.now && belief.until <= self.now + 10_000);
+                        self.heard[n].insert(belief.engine);
+                    }
+                    Act::Living(count) => assert!(count >= 0.2 * self.sent.len() as f64),
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, span: u64) {
+        let until = self.now + span;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    /// Pairs of living front ends of which one takes the other for dead.
+    fn false_alarms(&self) -> usize {
+        let living: Vec<_> =
+            self.all.iter().enumerate().filter(|p| p.1.is_some()).map(|p| p.0 as u16).collect();
+        let wrong = |p: &Peers| living.iter().filter(|n| !p.lives(**n, self.now)).count();
+        self.all.iter().flatten().map(wrong).sum()
+    }
+
+    /// Milliseconds until all that live have noticed that this one does not.
+    fn notice(&mut self, dead: u16) -> u64 {
+        let since = self.now;
+        self.all[usize::from(dead)] = None;
+        while self.all.iter().flatten().any(|p| p.lives(dead, self.now)) {
+            self.step();
+            assert!(self.now < since + 30_000, "never noticed");
+        }
+        self.now - since
+    }
+}
+
+#[test]
+fn the_dead_are_noticed_and_the_living_never_taken_for_dead() {
+    for (count, loss) in [(2, 0.0), (20, 0.0), (20, 0.3), (100, 0.3)] {
+        let mut fleet = Fleet::new(count, loss, 5);
+        let mut alarms = 0;
+        for _ in 0..20 {
+            fleet.run(1_000);
+            alarms += fleet.false_alarms();
+        }
+        let noticed = fleet.notice(1);
+        let most = fleet.sent.iter().max().unwrap() / 20;
+        println!(
+            "{count} front ends, {loss} lost: noticed after {noticed} ms, {alarms} false alarms, {most} B/s at most"
+        );
+        assert_eq!(alarms, 0);
+        let after = dead_after(count);
+        assert!((after - 600..after + 5_000).contains(&noticed), "{noticed}");
+        assert!(most < u64::from(BYTES), "{most}");
+    }
+}
+
+#[test]
+fn two_that_find_an_engine_bad_are_heard_by_all_and_one_by_nobody() {
+    for (loss, least) in [(0.0, 58), (0.3, 52), (0.5, 38)] {
+        let mut fleet = Fleet::new(60, loss, 7);
+        fleet.run(3_000);
+        let now = fleet.now;
+        let mut find = |n: usize, engine| {
+            fleet.all[n].as_mut().unwrap().find(EngineKey(engine), Kind::Fails, now + 4_000, now)
+        };
+        find(3, 7);
+        find(9, 7);
+        find(4, 8);
+        fleet.run(3_000);
+        let heard = |engine| fleet.heard.iter().filter(|h| h.contains(&EngineKey(engine))).count();
+        // All but the two, each of whom hears of one other only and knows by itself; few miss three tellings of one.
+        println!("{loss} lost: {} of 58 heard", heard(7));
+        assert!((least..=58).contains(&heard(7)) && heard(8) == 0, "{loss} lost: {}, {}", heard(7), heard(8));
+    }
+}
+
+#[test]
+fn without_signs_of_life_news_alone_is_told_and_nobody_is_taken_for_dead() {
+    let setup = |me| Setup { me, count: 3, bytes_most: BYTES, keys: Keys::default(), beats: false, seed: 1 };
+    let mut peer = Peers::new(setup(0), START);
+    peer.engines(&listed());
+    let mut acts = Vec::new();
+    (0..60_000).step_by(50).for_each(|ms| peer.act(START + ms, &mut acts));
+    assert_eq!((acts.len(), peer.living(START + 60_000)), (0, 3));
+    let now = START + 60_000;
+    peer.find(EngineKey(1), Kind::Fails, now + 1_000, now);
+    (0..1_000).for_each(|ms| peer.act(now + ms, &mut acts));
+    let told: BTreeSet<_> =
+        acts.iter().filter_map(|a| if let Act::Send(to, _) = a { Some(*to) } else { None }).collect();
+    assert_eq!(told, BTreeSet::from([1, 2]));
+}
+
+#[test]
+fn old_words_of_a_life_before_are_not_taken() {
+    let (mut old, mut other) = (one(0, 3, START, Keys::default()), one(1, 3, START, Keys::default()));
+    let mut acts = Vec::new();
+    let mut sent = |peer: &mut Peers, now: u64| {
+        for at in now..now + 2_000 {
+            peer.act(at, &mut acts);
+            let found = acts
+                .drain(..)
+                .find_map(|a| if let Act::Send(1, bytes) = a { Some((bytes, at)) } else { None });
+            if let Some(found) = found {
+                return found;
+            }
+        }
+        panic!("nothing was sent");
+    };
+    old.find(EngineKey(1), Kind::Fails, START + 9_000, START);
+    let (first, at) = sent(&mut old, START);
+    let (second, _) = sent(&mut old, at + 1);
+    let now = at + 600;
+    assert_eq!(other.receive(Some(0), &second, now), Ok(()));
+    assert_eq!(other.receive(Some(0), &second, now), Err(BadDatagram::Stale), "again");
+    assert_eq!(other.receive(Some(0), &first, now), Err(BadDatagram::Stale), "overtaken");
+    assert_eq!(other.receive(Some(2), &first, now), Err(BadDatagram::Stranger), "from another's address");
+    assert_eq!(other.receive(None, &first, now), Err(BadDatagram::Stranger));
+    assert_eq!(other.receive(Some(1), &first, now), Err(BadDatagram::Stranger), "this one itself");
+    let mut new = one(0, 3, now, Keys::default());
+    let (word, at) = sent(&mut new, now);
+    assert_eq!(other.receive(Some(0), &word, at), Ok(()));
+    let (late, _) = sent(&mut old, at + 100);
+    assert_eq!(other.receive(Some(0), &late, at + 200), Err(BadDatagram::Stale), "of the life before");
+    // Held back for longer than anything is good for, or of a clock far ahead.
+    let mut fresh = one(2, 3, at + 60_000, Keys::default());
+    assert_eq!(fresh.receive(Some(0), &word, at + 60_000), Err(BadDatagram::Stale));
+    let mut early = one(2, 3, START - 60_000, Keys::default());
+    assert_eq!(early.receive(Some(0), &word, START - 60_000), Err(BadDatagram::Future));
+    let tally = other.tally();
+    assert_eq!((tally.taken, tally.stale, tally.stranger), (2, 3, 3));
+}
+
+#[test]
+fn who_sends_more_than_any_may_is_not_read_any_further() {
+    let keys = Keys(vec![Key::new(&[5; 32]).unwrap()]);
+    let mut peer = one(1, 3, START, keys.clone());
+    for n in 0..10_000 {
+        let _ = peer.receive(Some(2), &[1; 100], START + n / 10);
+    }
+    let tally = peer.tally();
+    assert!(tally.forged <= 401 && tally.flood >= 9_599, "{tally:?}");
+    let sound =
+        keys.seal(&Datagram { from: 0, born: START, sent: (START + 1_000) * 1000, ..Datagram::default() });
+    assert_eq!(peer.receive(Some(0), &sound, START + 1_000), Ok(()), "others are heard as before");
+}
+
+#[test]
+fn what_is_found_in_the_moment_after_a_sleep_is_kept_back() {
+    let mut peer = one(1, 3, START, Keys::default());
+    let mut acts = Vec::new();
+    (0..1_000).for_each(|ms| peer.act(START + ms, &mut acts));
+    let woken = START + 11_000;
+    peer.find(EngineKey(3), Kind::Silent, woken + 4_000, woken);
+    peer.act(woken + 500, &mut acts);
+    peer.find(EngineKey(4), Kind::Silent, woken + 4_000, woken + 900);
+    assert_eq!((peer.tally().kept_back, peer.tally().found), (2, 0));
+    assert_eq!(peer.living(woken + 900), 3, "it was deaf, they were not silent");
+    peer.act(woken + 1_000, &mut acts);
+    peer.find(EngineKey(3), Kind::Silent, woken + 9_000, woken + 1_100);
+    assert_eq!(peer.tally().found, 1);
+}
+
+/// Nothing but a table: who said what of which engine, until when.
+#[derive(Default)]
+struct Plain(BTreeMap<(EngineKey, u16), (f64, u64)>);
+
+impl Plain {
+    fn believes(&self, engine: EngineKey, now: u64) -> bool {
+        let said = self.0.iter().filter(|s| s.0.0 == engine && s.1.1 > now);
+        said.map(|s| s.1.0).sum::<f64>() >= 2.0
+    }
+}
+
+proptest! {
+    /// Datagrams in any order, some lost, some twice: state stays bounded, and once each origin's latest was heard the
+    /// belief is that of the plain table.
+    #[test]
+    fn any_order_loss_and_repeat_ends_in_the_same_belief(
+        facts in proptest::collection::vec((1u16..7, 0u64..4, 0u8..4, 100u16..900), 1..40),
+        order in proptest::collection::vec(any::<prop::sample::Index>(), 0..120),
+    ) {
+        let keys = Keys::default();
+        let mut peer = one(0, 8, START, keys.clone());
+        // Each origin says its latest word on each engine in every datagram.
+        let mut said: BTreeMap<u16, BTreeMap<u64, Fact>> = BTreeMap::new();
+        let mut datagrams = Vec::new();
+        for (n, (from, engine, kind, left)) in facts.into_iter().enumerate() {
+            let own = said.entry(from).or_default();
+            own.insert(engine, Fact { engine: EngineKey(engine), started: 0, kind, left });
+            let sent = (START + 10 + n as u64) * 1000;
+            let facts = own.values().copied().collect();
+            datagrams.push((from, Datagram { from, born: START, sent, facts, beats: Vec::new() }));
+        }
+        let now = START + 100;
+        for index in &order {
+            let (from, datagram) = index.get(&datagrams);
+            let _ = peer.receive(Some(*from), &keys.seal(datagram), now);
+            prop_assert!(peer.held() <= 8 + 8 + 20 * 9);
+        }
+        // The last of each origin comes in the end.
+        let mut plain = Plain::default();
+        for (from, own) in &said {
+            let last = datagrams.iter().rfind(|d| d.0 == *from).unwrap();
+            let _ = peer.receive(Some(*from), &keys.seal(&last.1), now);
+            for fact in own.values().filter(|f| f.kind < 3) {
+                let weight = if fact.kind == 2 { 0.5 } else { 1.0 };
+                plain.0.insert((fact.engine, *from), (weight, now + u64::from(fact.left) * 10));
+            }
+        }
+        // An older word on an engine may have been heard of a kind that the last one is not known to be.
+        let known = said.values().flat_map(|o| o.values()).all(|f| f.kind < 3);
+        if known {
+            for at in [now + 1, now + 2_000, now + 5_000, now + 9_000] {
+                let believed = (0..4).filter(|e| plain.believes(EngineKey(*e), at)).count();
+                prop_assert_eq!(peer.believed(at), believed, "at {}", at - now);
+            }
+        }
+    }
+
+    /// Whatever comes in, nothing panics and nothing of it is taken for more than it is.
+    #[test]
+    fn any_bytes_are_taken_or_turned_down(bytes in proptest::collection::vec(any::<u8>(), 0..300), from in 0u16..9) {
+        let mut peer = one(0, 8, START, Keys::default());
+        let _ = peer.receive(Some(from), &bytes, START);
+        let sealed = Keys::default().open(&bytes);
+        prop_assert!(sealed.is_err() || bytes.len() <= 256);
+        prop_assert_eq!(peer.believed(START), 0);
+    }
+
+    /// Any datagram that can be written is read as it was.
+    #[test]
+    fn what_is_written_is_read(from in any::<u16>(), born in any::<u64>(), sent in any::<u64>(),
+        facts in proptest::collection::vec((any::<u64>(), any::<u32>(), any::<u8>(), any::<u16>()), 0..6)) {
+        let facts = facts.into_iter().map(|(engine, started, kind, left)| Fact { engine: EngineKey(engine), started, kind, left });
+        let datagram = Datagram { from, born, sent, facts: facts.collect(), beats: Vec::new() };
+        let keys = Keys(vec![Key::new(&[3; 32]).unwrap()]);
+        prop_assert_eq!(keys.open(&keys.seal(&datagram)), Ok(datagram));
+    }
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -96,6 +96,7 @@
     keepalive_us: f64,
     multiplex: Option<usize>,
     open_cap: Option<usize>,
+    may_tell: Option<bool>,
 }
 
 #[derive(Default, Deserialize)]
@@ -160,6 +161,8 @@
     pub multiplex: usize,
     /// Requests that may be open at once.
     pub open_cap: usize,
+    /// Front ends may send one another messages; none where nothing is said of it.
+    pub may_tell: Option<bool>,
 }
 
 /// All that the settings object tells.
@@ -207,6 +210,7 @@
         keepalive: told(limits.keepalive_us, Duration::from_secs(15)),
         multiplex: limits.multiplex.unwrap_or(1).max(1),
         open_cap: limits.open_cap.unwrap_or(usize::MAX),
+        may_tell: limits.may_tell,
     }
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -494,6 +494,15 @@
     ListFailed,
     /// This process's part of the gateway's work, more than 0 and at most 1; another one has the rest.
     Part(f64),
+    /// So many gateways are at work, by what is known of them; where fewer are than was told, the rest bear their load.
+    Living(f64),
+    /// Several other gateways have found, each by itself, that an engine is to be left alone.
+    Hearsay {
+        /// Which engine.
+        engine: EngineId,
+        /// For how long, if nothing more is heard.
+        lasts: Duration,
+    },
     /// A client's request.
     Arrival(Arrival),
     /// Others were told of the group that this request's attempt goes to: it is bound to that as if it had run.
@@ -577,6 +586,15 @@
     Probe(EngineId),
     /// Ask for changes of the list from now on.
     Subscribe,
+    /// By this gateway's own traffic an engine is to be left alone for a while; other gateways may hear of it.
+    Suspect {
+        /// Which engine.
+        engine: EngineId,
+        /// It says nothing; else it fails.
+        silent: bool,
+        /// For how long.
+        lasts: Duration,
+    },
     /// A line for the operators' log.
     Log(String),
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -67,6 +67,8 @@
 const QUARANTINE_MOST: i64 = 8 * SECOND;
 /// At most this share of the engines in service sits in quarantine: beyond it the cause is elsewhere.
 const QUARANTINE_SHARE: f64 = 0.5;
+/// And this share is set aside on hearsay.
+const HEARSAY_SHARE: f64 = 0.2;
 
 /// Each period judges its own completions; rare classes gather theirs over a few.
 fn fade(evidence: &mut Evidence) {
@@ -81,8 +83,10 @@
 /// The decisions of one gateway.
 pub struct Gateway {
     settings: Settings,
-    /// How many share the pool; a process with half of a gateway's work is one of twice as many.
+    /// How many share the pool; a process with half of a gateway's work is one of twice as many. Cold budgets
+    /// go by those that were told, all else by those that live.
     sharers: f64,
+    living: f64,
     now: i64,
     seq: u64,
     next_beat: i64,
@@ -120,6 +124,7 @@
             last_period: i64::MIN / 2,
             subscribe_at: (settings.discovery == Discovery::Asked).then_some(0),
             sharers: f64::from(settings.gateways),
+            living: f64::from(settings.gateways),
             settings,
             now: 0,
             seq: 0,
@@ -165,6 +170,8 @@
         match event {
             Event::Engines { scope, entries } => self.list(*scope, entries),
             Event::Part(part) => self.part(*part),
+            Event::Living(count) => self.share(self.sharers * count / f64::from(self.settings.gateways)),
+            Event::Hearsay { engine, lasts } => self.hearsay(*engine, us(*lasts)),
             Event::ListFailed => self.subscribe_at = asked.then_some(self.now + SECOND),
             Event::Arrival(arrival) => self.arrive(arrival, actions),
             Event::Bound(request) => self.bound(*request),
@@ -206,14 +213,20 @@
     /// Bounds and cold budgets are parts of what all gateways may do, and go with this process's part of one.
     fn part(&mut self, part: f64) {
         let sharers = f64::from(self.settings.gateways) / part.clamp(0.01, 1.0);
-        self.engines.values_mut().for_each(|e| e.bound *= self.sharers / sharers);
-        self.warm_rate *= self.sharers / sharers;
-        self.sharers = sharers;
+        let before = std::mem::replace(&mut self.sharers, sharers);
+        self.warm_rate *= before / sharers;
+        self.share(self.living * sharers / before);
+    }
+
+    fn share(&mut self, living: f64) {
+        let living = living.max(1.0);
+        self.engines.values_mut().for_each(|e| e.bound *= self.living / living);
+        self.living = living;
     }
 
     /// Engines on the list that nothing is sent to: out, draining or in quarantine.
     pub fn avoided(&self) -> usize {
-        let away = |e: &&Engine| e.gone || e.quarantined_until > self.now;
+        let away = |e: &&Engine| e.gone || e.quarantined_until > self.now || e.aside(self.now, PERIOD);
         self.engines.values().filter(|e| e.entry.state != EngineState::Gone).filter(away).count()
     }
 
@@ -411,13 +424,13 @@
 
     /// This gateway's part of so many threads a core; at least one query is left to `route`.
     fn own_part(&self, threads: f64, kind: Option<KindId>) -> f64 {
-        threads * self.cores(kind) / self.sharers
+        threads * self.cores(kind) / self.living
     }
 
     /// The design's condition: latency far above best, or full.
     fn signs(&self, engine: &Engine) -> bool {
         // Young attempts show no latency yet; own threads tell, between an even part and all.
-        let spread = self.sharers.sqrt();
+        let spread = self.living.sqrt();
         let (own, pool) = (&engine.evidence, &self.pool);
         // Reports of the pool stand in for own latencies, of which a gateway with little traffic has too few.
         let busy = own.busy.get(LEAST_SAMPLES).or(pool.busy.get(LEAST_SAMPLES));
@@ -517,7 +530,7 @@
     /// its work keeps a reserve of its own: one wide query that runs for seconds would shut out many of it.
     fn chance(&self, class: ClassId, threads: f64, width: f64) -> f64 {
         let first = self.earns(class.0) >= self.most_earned();
-        (if first { RESERVED } else { DEVIATIONS }) * (threads * width * (1.0 - 1.0 / self.sharers)).sqrt()
+        (if first { RESERVED } else { DEVIATIONS }) * (threads * width * (1.0 - 1.0 / self.living)).sqrt()
     }
 
     /// How slow an engine looks: what was last heard of it, fading towards the pool's mean in the time that
@@ -568,11 +581,23 @@
     /// Out while in quarantine; on trial one query at a time.
     fn healthy(&self, engine: &Engine) -> bool {
         engine.quarantined_until.max(engine.shut_until) <= self.now
+            && !engine.aside(self.now, PERIOD)
             && (engine.trial == 0 || engine.count == 0)
     }
 
+    /// Several others have found an engine to fail. One more sign: it is set aside for a while, but only where
+    /// few are already; then it is on trial.
+    fn hearsay(&mut self, id: EngineId, lasts: i64) {
+        let all = self.engines.values().filter(|e| !e.gone).count() as f64;
+        let aside = self.engines.iter().filter(|e| !e.1.gone && *e.0 != id && e.1.hearsay_until > self.now);
+        let few = aside.count() as f64 + 1.0 <= (all * HEARSAY_SHARE).max(1.0) && all > 1.0;
+        let Some(engine) = self.engines.get_mut(&id).filter(|_| few) else { return };
+        engine.hearsay_until = engine.hearsay_until.max(self.now + lasts.min(QUARANTINE_MOST));
+        engine.trial = engine.trial.max(1);
+    }
+
     /// Shuts an engine out for a while, longer each time, unless too many are out already.
-    fn quarantine(&mut self, id: EngineId, why: &str, actions: &mut Vec<Action>) -> bool {
+    fn quarantine(&mut self, id: EngineId, silent: bool, actions: &mut Vec<Action>) -> bool {
         let all = self.engines.values().filter(|e| !e.gone);
         let (all, out) = (all.clone().count(), all.filter(|e| e.quarantined_until > self.now).count() + 1);
         let Some(engine) = self.engines.get_mut(&id) else { return false };
@@ -580,10 +605,10 @@
             return false;
         }
         engine.quarantined_until = self.now + engine.backoff;
+        actions.push(Action::Suspect { engine: id, silent, lasts: span(engine.backoff) });
         engine.backoff = (engine.backoff * 2).min(QUARANTINE_MOST);
         engine.trial = 3;
         engine.failures = Mean::default();
-        actions.push(Action::Log(format!("quarantine engine {} {why}", id.0)));
         true
     }
 
@@ -607,6 +632,7 @@
             Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => return,
         };
         engine.failures.add(f64::from(u8::from(failed)), RECENT);
+        engine.served = if failed { engine.served } else { self.now };
         if outcome == Outcome::ConnectFailed {
             // What comes back after refused connections may be cold, though the list does not say so yet.
             engine.cold_since = Some(self.now);
@@ -621,7 +647,7 @@
             return;
         }
         if bad {
-            self.quarantine(id, "fails", actions);
+            self.quarantine(id, false, actions);
         }
         self.look(id, CLIP * PRESSURE);
     }
@@ -665,7 +691,7 @@
         };
         let silent: Vec<_> = self.engines.iter().filter(|e| quiet(e.1)).map(|e| *e.0).collect();
         for id in silent {
-            if self.quarantine(id, "silent", actions) && self.settings.limits.cancel {
+            if self.quarantine(id, true, actions) && self.settings.limits.cancel {
                 let stuck: Vec<_> = self.requests.iter().filter(|r| r.1.stuck_on(id)).map(|r| *r.0).collect();
                 for request in stuck {
                     self.call_off(request, actions);
@@ -695,7 +721,8 @@
         }
         let window = us(rules.tip_window).max(1);
         let full = self.cores(engine.entry.kind) * window as f64;
-        let own = if self.warm_rate > 0.0 { self.warm_rate } else { self.own_part(1.0, engine.entry.kind) };
+        let even = self.cores(engine.entry.kind) / self.sharers;
+        let own = if self.warm_rate > 0.0 { self.warm_rate } else { even };
         // Of the queries that fit in the budget so many are meant that three deviations of chance still fit.
         let fit = COLD_SHARE * rules.tip_multiple * warm * full / self.weight(class);
         let meant = if fit > 1.0 { (((5.0 + 4.0 * fit).sqrt() - 3.0) / 2.0).max(0.0).powi(2) } else { 0.0 };
@@ -705,7 +732,7 @@
         let draw =
             mix(self.tie ^ mix(turn) ^ mix(u64::from(id.0) << 8 | class.0 as u64)) as f64 / u64::MAX as f64;
         // Few gateways need no chance: even parts of less than the budget keep to it however traffic falls.
-        let even = COLD_EVEN * rules.tip_multiple * warm * full / self.sharers;
+        let even = COLD_EVEN * rules.tip_multiple * warm * even * window as f64;
         sent + self.weight(class) <= part.max(even)
             || sent == 0.0 && engine.count == 0 && draw * self.weight(class) < part
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,6 +70,9 @@
     pub(crate) full_until: i64,
     pub(crate) shut_until: i64,
     pub(crate) failures: Mean,
+    /// Others have found it to fail, and that holds until then; when it last served a query of ours.
+    pub(crate) hearsay_until: i64,
+    pub(crate) served: i64,
     pub(crate) last_send: i64,
     /// Last sign of life, or the send that broke the quiet.
     pub(crate) heard: i64,
@@ -189,6 +192,11 @@
         }
     }
 
+    /// Set aside on what others say. Who has been served there a moment ago knows better.
+    pub(crate) fn aside(&self, now: i64, moment: i64) -> bool {
+        self.hearsay_until > now && now - self.served >= moment
+    }
+
     /// An attempt has ended there.
     pub(crate) fn lift(&mut self, request: RequestId, threads: f64) {
         self.count = self.count.saturating_sub(1);
--- a/standins/src/driver.rs
+++ b/standins/src/driver.rs
@@ -139,7 +139,7 @@
 
 /// How a request ended on the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
+pub enum End {
     Served,
     Refused,
     Failed,
@@ -147,13 +147,13 @@
 }
 
 /// One session.
-struct Line {
+pub struct Line {
     stream: TcpStream,
     input: BytesMut,
 }
 
 impl Line {
-    async fn open(address: SocketAddr) -> Option<Self> {
+    pub async fn open(address: SocketAddr) -> Option<Self> {
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let mut line = Self { stream, input: BytesMut::with_capacity(4096) };
@@ -166,7 +166,7 @@
     }
 
     /// Has the front end closed it meanwhile? It may, where nothing is open.
-    fn closed(&self) -> bool {
+    pub fn closed(&self) -> bool {
         matches!(self.stream.try_read(&mut [0; 1]), Ok(0))
             || self.stream.take_error().ok().flatten().is_some()
     }
@@ -186,7 +186,7 @@
         }
     }
 
-    async fn ask(&mut self, query: &[u8]) -> Option<End> {
+    pub async fn ask(&mut self, query: &[u8]) -> Option<End> {
         self.stream.write_all(query).await.ok()?;
         let first = self.packet().await?;
         match first[0] {
--- a/standins/src/record.rs
+++ b/standins/src/record.rs
@@ -112,6 +112,15 @@
         self.cold_windows(start).into_iter().fold(0.0, f64::max)
     }
 
+    /// The most attempts that any request had, over all engines; each client's try has an id of its own.
+    pub fn most_attempts(&self) -> usize {
+        let mut attempts: BTreeMap<String, usize> = BTreeMap::new();
+        for seen in self.lock().iter().filter(|s| matches!(s.what, What::Began { .. })) {
+            *attempts.entry(seen.trace.clone()).or_default() += 1;
+        }
+        attempts.into_values().max().unwrap_or(0)
+    }
+
     /// The most attempts of one key that were out at one moment, over all engines.
     pub fn most_out_of_a_key(&self) -> usize {
         let mut out: BTreeMap<String, usize> = BTreeMap::new();
@@ -154,6 +163,7 @@
         record.see("b", "2", began(1));
         assert_eq!(record.most_out_of_a_key(), 2);
         assert_eq!(record.late_sends("a", told, Duration::ZERO), 1);
+        assert_eq!(record.most_attempts(), 1);
         assert_eq!(record.late_sends("a", told, Duration::from_secs(2)), 0);
         let second = Duration::from_secs(1);
         let cold = ColdStart {
@@ -171,6 +181,9 @@
         record.see("a", "1", What::Ended);
         record.see("b", "2", What::Killed);
         record.see("a", "4", began(1));
+        record.see("b", "4", began(1));
+        assert_eq!(record.most_attempts(), 2, "one request at two engines");
+        record.see("b", "4", What::Ended);
         assert_eq!(record.most_out_of_a_key(), 3, "what has ended is out no more");
     }
 }
--- a/standins/src/resp.rs
+++ b/standins/src/resp.rs
@@ -123,6 +123,8 @@
     Dead,
     /// It accepts and never says anything more.
     Silent,
+    /// It answers all with an error, at once.
+    Failing,
 }
 
 enum Told {
@@ -135,6 +137,7 @@
         key: Option<String>,
     },
     GaveUp(u64, Bytes),
+    Erred(Bytes),
     Mood(Mood),
 }
 
@@ -217,6 +220,10 @@
             let id = words[1].clone();
             match &words[0][..] {
                 b"PULL" if mood == Mood::Silent => {}
+                b"PULL" if mood == Mood::Failing => {
+                    let _ = told.send(Told::Erred(id.clone()));
+                    put_array(&mut out, &[&id, b"500", b"-", b""]);
+                }
                 b"PULL" if at_once => put_array(&mut out, &[&id, b"200", AT_ONCE, b"a\tb\tc\n"]),
                 b"PULL" => {
                     next += 1;
@@ -314,7 +321,12 @@
                         record.see(&name, std::str::from_utf8(&trace).unwrap(), What::Killed);
                     }
                 }
-                Told::Mood(Mood::Well) => {}
+                Told::Erred(trace) => {
+                    let trace = std::str::from_utf8(&trace).unwrap();
+                    record.see(&name, trace, What::Began { work: Duration::ZERO, key: None });
+                    record.see(&name, trace, What::Ended);
+                }
+                Told::Mood(Mood::Well | Mood::Failing) => {}
                 Told::Mood(_) => {
                     queries.drain().for_each(|(id, query)| {
                         model.give_up(id);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -103,8 +103,13 @@
         self.actions.iter().any(|a| matches!(a, Action::Cancel { request, .. } if *request == id))
     }
 
-    pub fn logged(&self, words: &str) -> bool {
-        self.actions.iter().any(|a| matches!(a, Action::Log(line) if line.contains(words)))
+    /// Engines that it put away by its own evidence, and whether for their silence.
+    pub fn suspected(&self) -> Vec<(EngineId, bool)> {
+        let suspect = |a: &Action| match a {
+            Action::Suspect { engine, silent, .. } => Some((*engine, *silent)),
+            _ => None,
+        };
+        self.actions.iter().filter_map(suspect).collect()
     }
 }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -51,7 +51,7 @@
         assert!(rig.refused(bad[0]));
         trickle(&mut rig, 3, |_| Some(Outcome::Ok));
     }
-    assert!(!rig.logged("quarantine"));
+    assert_eq!(rig.suspected(), []);
 }
 
 /// How many queries the first of three engines is sent, one every two seconds at most, after it has gone bad; it was
@@ -108,7 +108,7 @@
     rig.end(lost, 0, Outcome::Cancelled);
     rig.pass(ms(50));
     assert_eq!(rig.sent(lost).len(), 2);
-    assert!(!rig.logged("quarantine"));
+    assert_eq!(rig.suspected(), []);
 }
 
 #[test]
@@ -120,7 +120,7 @@
     rig.step(&[Event::ListFailed]);
     let act = |e: EngineId| (e.0 != 0).then_some(Outcome::Ok);
     let stuck = trickle(&mut rig, 40, act);
-    assert!(rig.logged("silent"));
+    assert!(rig.suspected().iter().any(|s| s.1), "for its silence");
     assert!(stuck.iter().any(|id| rig.cancelled(*id)), "what hangs there is called off");
     let ids = trickle(&mut rig, 60, act);
     assert!(share(&rig, &ids, 0) < 0.2, "{}", share(&rig, &ids, 0));
@@ -158,8 +158,9 @@
     let mut rig = Rig::new(settings(), 4);
     trickle(&mut rig, 30, |_| Some(Outcome::Ok));
     trickle(&mut rig, 60, |_| None);
-    let second = rig.actions.iter().position(|a| matches!(a, Action::Log(_))).unwrap() + 1;
-    let second = rig.actions[second..].iter().position(|a| matches!(a, Action::Log(_))).unwrap() + second;
+    let second = rig.actions.iter().position(|a| matches!(a, Action::Suspect { .. })).unwrap() + 1;
+    let second =
+        rig.actions[second..].iter().position(|a| matches!(a, Action::Suspect { .. })).unwrap() + second;
     assert!(sends(&rig.actions[second..]).len() > 10, "the other half stays in use");
 }
 
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -85,7 +85,7 @@
             }
             Action::Probe(_) => assert!(self.settings.limits.probes, "probes are not allowed"),
             Action::Subscribe => assert_eq!(self.settings.discovery, Discovery::Asked),
-            Action::Wake(_) | Action::Log(_) => {}
+            Action::Wake(_) | Action::Log(_) | Action::Suspect { .. } => {}
         }
     }
 
