Lead every way of a fleet through a relay, and break all of them in one test

Need: the rig reached front ends' peers and engines only; clients and the name server had no faulty way, and the checkers knew neither drains nor keys over a whole fleet. An origin that restarts had to be shown to take back what it said: with that line taken out no test failed.

A restarted front end of the rig is told the events up to now, as the platform does.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 #![allow(missing_docs)]
 
 pub mod chart;
+pub mod datagram;
 pub mod day;
 pub mod fault;
 pub mod hostile;
--- a/fleet/src/rig.rs
+++ b/fleet/src/rig.rs
@@ -1,5 +1,6 @@
 //! A whole fleet: front ends, engines, the ways between them, a load, and what was seen.
 
+use crate::datagram::UdpRelay;
 use crate::fault::Struck;
 use crate::hostile::Hostile;
 use crate::load::{Load, Playing};
@@ -7,6 +8,7 @@
 use crate::tcp::{Flow, TcpRelay};
 use crate::udp::PeerNet;
 use reedwalk_standins::model::Shape;
+use reedwalk_standins::names::{self, List};
 use reedwalk_standins::record::Record;
 use reedwalk_standins::resp::{Modelled, Mood, modelled};
 use serde_json::{Value, json};
@@ -15,6 +17,7 @@
 use std::net::SocketAddr;
 use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
 use std::path::PathBuf;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::runtime::Handle;
@@ -35,6 +38,10 @@
     pub more: String,
     /// Engines are reached through relays, one for each hall of front ends.
     pub halls: usize,
+    /// There is a name server, reached through a relay.
+    pub names: bool,
+    /// Clients reach each front end through a relay.
+    pub doors: bool,
     /// All engines start with the fleet, and are cold.
     pub cold: bool,
     /// Places in the tier that are left to a hostile peer.
@@ -53,6 +60,8 @@
             key: None,
             more: String::new(),
             halls: 0,
+            names: false,
+            doors: false,
             cold: false,
             left_out: Vec::new(),
         }
@@ -118,6 +127,11 @@
     pub playing: Option<Playing>,
     pub hostile: Option<Hostile>,
     pub began: Instant,
+    /// The name server's list, if there is one, and the way to it.
+    pub list: List,
+    pub names: Option<UdpRelay>,
+    /// The ways from clients to front ends, by their numbers; where there are none clients come directly.
+    pub doors: Vec<Option<TcpRelay>>,
     struck: Struck,
     around: Apart,
     clients: Apart,
@@ -156,6 +170,19 @@
                 receive.recv().unwrap()
             })
             .collect();
+        let entry = |(n, e): (usize, &Modelled)| names::Engine {
+            id: engine_id(n).into(),
+            address: e.address,
+            draining: false,
+            started_ms,
+        };
+        let list = List::new(Mutex::new((1, engines.iter().enumerate().map(entry).collect())));
+        let names = setup.names.then(|| {
+            assert!(setup.halls == 0, "the name server tells one address an engine");
+            let (list, (send, receive)) = (list.clone(), std::sync::mpsc::channel());
+            around.handle.spawn(async move { send.send(names::server(list).await.0).ok() });
+            UdpRelay::open(receive.recv().unwrap(), setup.seed, &around.handle)
+        });
         let net = PeerNet::open(setup.fronts, setup.seed, &around.handle);
         let relays: Vec<Vec<_>> = (0..setup.halls)
             .map(|_| engines.iter().map(|e| TcpRelay::open(e.address, &around.handle)).collect())
@@ -187,7 +214,7 @@
                 number,
                 count: setup.fronts,
                 known: known(&addresses, started_ms),
-                names: None,
+                names: names.as_ref().map(|n| n.address),
                 peers: net.addresses.to_vec(),
                 operator: operator.clone(),
                 seed: setup.seed.wrapping_mul(1_000_003) + number as u64,
@@ -206,6 +233,9 @@
             playing,
             hostile,
             began: Instant::now(),
+            list,
+            names,
+            doors: Vec::new(),
             struck,
             around,
             clients,
@@ -213,6 +243,11 @@
         };
         let all: Vec<_> = (0..rig.fronts.len()).filter(|n| rig.fronts[*n].is_some()).collect();
         rig.bring_up(&all);
+        if rig.setup.doors {
+            let door =
+                |f: &Option<FrontEnd>| f.as_ref().map(|f| TcpRelay::open(f.address, &rig.around.handle));
+            rig.doors = rig.fronts.iter().map(door).collect();
+        }
         rig
     }
 
@@ -224,7 +259,8 @@
             let front = self.fronts[n].as_mut().expect("a front end");
             front.ready();
             front.peer.into_iter().for_each(|real| self.net.place(n, real));
-            self.playing.iter().for_each(|p| p.place(n, Some(front.address)));
+            let door = self.doors.get(n).and_then(Option::as_ref).map_or(front.address, |d| d.address);
+            self.playing.iter().for_each(|p| p.place(n, Some(door)));
         }
     }
 
@@ -240,7 +276,10 @@
     /// Clients ask from now on.
     pub fn play(&mut self, load: &Load) {
         let none = "127.0.0.1:9".parse().unwrap();
-        let addresses: Vec<_> = self.fronts.iter().map(|f| f.as_ref().map_or(none, |f| f.address)).collect();
+        let door = |n: usize| self.doors.get(n).and_then(Option::as_ref).map(|d| d.address);
+        let address =
+            |(n, f): (usize, &Option<FrontEnd>)| door(n).or(f.as_ref().map(|f| f.address)).unwrap_or(none);
+        let addresses: Vec<_> = self.fronts.iter().enumerate().map(address).collect();
         let playing = load.play(&addresses, &self.clients.handle);
         for &n in &self.setup.left_out {
             playing.place(n, None);
@@ -268,7 +307,20 @@
         }
     }
 
+    /// Starts them again. As on the platform, each is told the name server's events up to now.
     pub fn restart(&mut self, which: &[usize]) {
+        let (serial, draining): (u32, Vec<_>) = {
+            let list = self.list.lock().unwrap();
+            (list.0, list.1.iter().filter(|e| e.draining).map(|e| e.id.to_string()).collect())
+        };
+        for &n in which {
+            let known = &mut self.fronts[n].as_mut().expect("a front end").told.known;
+            known["seq"] = json!(serial);
+            let servers = known["results"][0]["fleet"]["servers"].as_array_mut().expect("a list");
+            for server in servers.iter_mut().filter(|s| draining.iter().any(|d| s["id"] == *d.as_str())) {
+                server["state"] = json!("terminating");
+            }
+        }
         self.bring_up(which);
         self.struck.restarted += which.len() as u64;
     }
@@ -281,6 +333,14 @@
         self.struck.woken += which.iter().filter(|n| self.front(**n).wake()).count() as u64;
     }
 
+    /// The name server tells from now on that an engine drains.
+    pub fn drain(&mut self, engine: usize) -> Instant {
+        let mut list = self.list.lock().unwrap();
+        list.0 += 1;
+        list.1.iter_mut().filter(|e| e.id == engine_id(engine)).for_each(|e| e.draining = true);
+        Instant::now()
+    }
+
     /// How front ends of a hall reach an engine.
     pub fn flow(&self, hall: usize, engine: usize, flow: Flow) {
         self.relays[hall][engine].set(flow);
@@ -290,7 +350,10 @@
     pub fn struck(&self) -> Struck {
         let mut struck = self.struck;
         struck.add(&self.net.struck());
-        for (held, reset) in self.relays.iter().flatten().map(TcpRelay::struck) {
+        self.names.iter().for_each(|n| struck.add(&n.struck()));
+        for (held, reset) in
+            self.relays.iter().flatten().chain(self.doors.iter().flatten()).map(TcpRelay::struck)
+        {
             struck.connections_cut += held;
             struck.connections_reset += reset;
         }
--- a/gateway/tests/cores.rs
+++ b/gateway/tests/cores.rs
@@ -64,7 +64,7 @@
 }
 
 fn listed(id: &'static str, address: SocketAddr, draining: bool) -> names::Engine {
-    names::Engine { id, address, draining, started_ms: 0 }
+    names::Engine { id: id.into(), address, draining, started_ms: 0 }
 }
 
 #[tokio::test]
--- a/gateway/tests/flight_front.rs
+++ b/gateway/tests/flight_front.rs
@@ -102,7 +102,8 @@
 #[tokio::test]
 async fn an_engine_that_drains_gets_nothing_new_within_two_seconds() {
     let world = World::default();
-    let of = |id, address| names::Engine { id, address, draining: false, started_ms: 0 };
+    let of =
+        |id: &'static str, address| names::Engine { id: id.into(), address, draining: false, started_ms: 0 };
     let (a, b) = (engine("a", world.clone()).await, engine("b", world.clone()).await);
     let list: names::List = Default::default();
     *list.lock().unwrap() = (1, vec![of("s-0", a), of("s-1", b)]);
--- a/gateway/tests/mysql_front.rs
+++ b/gateway/tests/mysql_front.rs
@@ -153,7 +153,8 @@
 #[tokio::test]
 async fn a_draining_engine_gets_nothing_new() {
     let world = World::default();
-    let engine = |id, address| names::Engine { id, address, draining: false, started_ms: 0 };
+    let engine =
+        |id: &'static str, address| names::Engine { id: id.into(), address, draining: false, started_ms: 0 };
     let (a, b) = (resp::engine("a", world.clone()).await, resp::engine("b", world.clone()).await);
     let list: names::List = Default::default();
     *list.lock().unwrap() = (1, vec![engine("s-0", a), engine("s-1", b)]);
--- a/gateway/tests/names.rs
+++ b/gateway/tests/names.rs
@@ -15,7 +15,7 @@
 use support::names::{Engine, answer, late_server};
 
 fn engine(id: &'static str, last: u8) -> Engine {
-    Engine { id, address: ([10, 1, 0, last], 8080).into(), draining: false, started_ms: 0 }
+    Engine { id: id.into(), address: ([10, 1, 0, last], 8080).into(), draining: false, started_ms: 0 }
 }
 
 fn book() -> Book {
--- a/gateway/tests/operation.rs
+++ b/gateway/tests/operation.rs
@@ -274,7 +274,12 @@
 async fn an_operators_word_stands_above_every_news_of_the_list() {
     let world = World::default();
     let [a, b] = engines(&world).await;
-    let engine = |id, address, draining, started_ms| names::Engine { id, address, draining, started_ms };
+    let engine = |id: &'static str, address, draining, started_ms| names::Engine {
+        id: id.into(),
+        address,
+        draining,
+        started_ms,
+    };
     let list: names::List =
         Arc::new(Mutex::new((2, vec![engine("s-0", a, false, 0), engine("s-1", b, false, 0)])));
     let (server, told) = names::server(list.clone()).await;
--- a/gateway/tests/peers.rs
+++ b/gateway/tests/peers.rs
@@ -1,7 +1,8 @@
 //! Front ends that know each other: real processes, faults between them. Each run prints which faults really struck.
 
 use reedwalk_fleet::fault::Fault;
-use reedwalk_fleet::rig::{Rig, Setup};
+use reedwalk_fleet::rig::{Rig, Setup, engine_id};
+use reedwalk_fleet::tcp::Flow;
 use reedwalk_fleet::{Load, Struck};
 use reedwalk_standins::driver::End;
 use reedwalk_standins::record::ColdStart;
@@ -89,7 +90,7 @@
     let key = key.map(<[u8]>::to_vec);
     let mut rig = Rig::start(Setup { left_out: vec![19], key, ..setup(20, 10, seed) });
     rig.play(&Load::lookups(20, 16.0, 50.0, seed));
-    let engines: Vec<_> = (0..10).map(reedwalk_fleet::rig::engine_id).collect();
+    let engines: Vec<_> = (0..10).map(engine_id).collect();
     let began = Instant::now();
     let hostile = rig.hostile(19, his);
     while began.elapsed() < 5 * SECOND {
@@ -179,7 +180,7 @@
     keeps_rules(&rig, &seen);
     for engine in 0..10 {
         let start = ColdStart {
-            engine: reedwalk_fleet::rig::engine_id(engine),
+            engine: engine_id(engine),
             at: started,
             cores: 8.0,
             from: 0.33,
@@ -307,6 +308,65 @@
     assert!(rig.all().all(|f| f.times_said("others say", since) == 0), "no ghost accuses");
 }
 
+#[test]
+fn with_all_ways_in_trouble_at_once_no_rule_is_broken() {
+    let _alone = alone();
+    let mut rig = Rig::start(Setup { names: true, doors: true, ..setup(20, 10, 81) });
+    let mut load = Load::lookups(20, 12.0, 50.0, 81);
+    load.shares = [0.6, 0.2, 0.2];
+    rig.play(&load);
+    rig.net.usual(Fault { loss: 0.2, twice: 0.1, garbled: 0.05, ..Fault::late(SECOND / 50, SECOND / 20) });
+    let names = rig.names.clone().unwrap();
+    names.set(Fault::lossy(0.2), Fault::late(SECOND / 50, SECOND / 20));
+    rig.run(2 * SECOND);
+    rig.turn(1, Mood::Failing);
+    rig.turn(2, Mood::Dead);
+    rig.turn(3, Mood::Silent);
+    let drained = rig.drain(4);
+    let doors = rig.doors.clone();
+    let door = |n: usize| doors[n].as_ref().unwrap();
+    (0..3).for_each(|n| door(n).set(Flow { delay: SECOND / 50, rate: Some(200_000.0), ..Flow::default() }));
+    door(3).set(Flow { held_back: true, ..Flow::default() });
+    rig.run(2 * SECOND);
+    door(3).set(Flow::default());
+    door(4).set(Flow::reset());
+    rig.kill(&[7, 8]);
+    rig.stop(&[9]);
+    rig.net.split(Some((0..20).map(|n| n / 10).collect()));
+    rig.run(2 * SECOND);
+    door(4).set(Flow::default());
+    rig.restart(&[7, 8]);
+    rig.wake(&[9]);
+    rig.net.split(None);
+    (1..4).for_each(|engine| rig.turn(engine, Mood::Well));
+    rig.run(4 * SECOND);
+    let seen = rig.playing.take().unwrap().end();
+    let struck = rig.struck();
+    println!("{} asked; {struck}", seen.len());
+    let all = [struck.lost, struck.twice, struck.garbled, struck.late, struck.cut, struck.connections_cut];
+    assert!(
+        all.iter().all(|s| *s > 0) && struck.connections_reset > 0 && struck.engines_turned == 6,
+        "{struck}"
+    );
+    assert_eq!((struck.killed, struck.restarted, struck.stopped, struck.woken), (2, 2, 1, 1));
+    keeps_rules(&rig, &seen);
+    let grace = 2 * SECOND + SECOND / 20;
+    for late in rig.record.all().iter().filter(|s| s.engine == engine_id(4) && s.at > drained + grace) {
+        let asked =
+            seen.iter().find(|a| a.trace == late.trace).map(|a| (a.front, a.at - drained, a.end, a.took));
+        println!("after the drain: {:?} {:?}, asked {asked:?}", late.at - drained, late.what);
+    }
+    assert_eq!(
+        rig.record.late_sends(&engine_id(4), drained, 2 * SECOND + SECOND / 20),
+        0,
+        "to one that drains"
+    );
+    assert_eq!(rig.record.sent_after_window(12 * SECOND), 0, "a key's repeats");
+    let after = Instant::now() - SECOND * 2;
+    let late: Vec<_> = seen.iter().filter(|a| a.at > after).collect();
+    assert!(late.iter().filter(|a| a.end == End::Served).count() * 10 > late.len() * 9, "it is well again");
+}
+
 #[test]
 fn keys_change_one_front_end_after_the_other_and_nobody_is_lost() {
     let _alone = alone();
--- a/gateway/tests/program.rs
+++ b/gateway/tests/program.rs
@@ -110,7 +110,8 @@
 async fn at_sighup_the_names_move_and_what_is_open_lives_on() {
     let world = World::default();
     let (a, b) = (resp::engine("a", world.clone()).await, resp::engine("b", world.clone()).await);
-    let engine = |id, address| names::Engine { id, address, draining: false, started_ms: 0 };
+    let engine =
+        |id: &'static str, address| names::Engine { id: id.into(), address, draining: false, started_ms: 0 };
     let list: names::List = Arc::new(Mutex::new((2, vec![engine("s-0", a), engine("s-9", b)])));
     let (server, told) = names::server(list.clone()).await;
     let nobody = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
--- a/measures/src/bin/measure-cores.rs
+++ b/measures/src/bin/measure-cores.rs
@@ -201,8 +201,12 @@
         (addresses, dies.unwrap(), server)
     });
     let list = told;
-    let entry =
-        |n: usize, draining| names::Engine { id: ENGINES[n], address: addresses[n], draining, started_ms: 0 };
+    let entry = |n: usize, draining| names::Engine {
+        id: ENGINES[n].into(),
+        address: addresses[n],
+        draining,
+        started_ms: 0,
+    };
     let mut engines: Vec<_> = (0..6).map(|n| entry(n, false)).collect();
     *list.lock().unwrap() = (2, engines.clone());
     let running = fronts(mode, cores, &known(&addresses[..6]), Some(server), seed);
--- a/peers/tests/fleet.rs
+++ b/peers/tests/fleet.rs
@@ -205,6 +205,22 @@
     assert_eq!((tally.taken, tally.stale, tally.stranger), (2, 3, 3));
 }
 
+#[test]
+fn an_origin_that_restarts_takes_back_what_it_said() {
+    let keys = Keys::default();
+    let mut peer = one(0, 4, START, keys.clone());
+    let fact = Fact { engine: EngineKey(1), started: 0, kind: 0, left: 900 };
+    let say = |peer: &mut Peers, from: u16, born: u64, at: u64, facts: Vec<Fact>| {
+        let datagram = Datagram { from, born, sent: at * 1000, facts, beats: Vec::new() };
+        peer.receive(Some(from), &keys.seal(&datagram), at)
+    };
+    assert_eq!(say(&mut peer, 1, START, START + 10, vec![fact]), Ok(()));
+    assert_eq!(say(&mut peer, 2, START, START + 10, vec![fact]), Ok(()));
+    assert_eq!(peer.believed(START + 20), 1);
+    assert_eq!(say(&mut peer, 2, START + 30, START + 40, Vec::new()), Ok(()));
+    assert_eq!(peer.believed(START + 50), 0, "it has not found that in this life");
+}
+
 #[test]
 fn who_sends_more_than_any_may_is_not_read_any_further() {
     let keys = Keys(vec![Key::new(&[5; 32]).unwrap()]);
--- a/standins/src/names.rs
+++ b/standins/src/names.rs
@@ -3,6 +3,7 @@
 use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::rdata::{A, SOA, SRV, TXT};
 use hickory_proto::rr::{Name, RData, Record, RecordType};
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::sync::{Arc, Mutex};
@@ -10,7 +11,7 @@
 
 #[derive(Clone, Debug)]
 pub struct Engine {
-    pub id: &'static str,
+    pub id: Cow<'static, str>,
     pub address: SocketAddr,
     pub draining: bool,
     pub started_ms: u64,
--- a/standins/src/record.rs
+++ b/standins/src/record.rs
@@ -112,6 +112,19 @@
         self.cold_windows(start).into_iter().fold(0.0, f64::max)
     }
 
+    /// Attempts of a key that arrived later than this after the first of that key: the engines may have forgotten it.
+    pub fn sent_after_window(&self, window: Duration) -> usize {
+        let mut first: BTreeMap<String, Instant> = BTreeMap::new();
+        let mut late = 0;
+        for seen in self.lock().iter() {
+            if let What::Began { key: Some(key), .. } = &seen.what {
+                let first = *first.entry(key.clone()).or_insert(seen.at);
+                late += usize::from(seen.at.duration_since(first) > window);
+            }
+        }
+        late
+    }
+
     /// The most attempts that any request had, over all engines; each client's try has an id of its own.
     pub fn most_attempts(&self) -> usize {
         let mut attempts: BTreeMap<String, usize> = BTreeMap::new();
@@ -164,6 +177,8 @@
         assert_eq!(record.most_out_of_a_key(), 2);
         assert_eq!(record.late_sends("a", told, Duration::ZERO), 1);
         assert_eq!(record.most_attempts(), 1);
+        assert_eq!(record.sent_after_window(Duration::from_secs(12)), 0);
+        assert_eq!(record.sent_after_window(Duration::ZERO), 1, "the second of the key");
         assert_eq!(record.late_sends("a", told, Duration::from_secs(2)), 0);
         let second = Duration::from_secs(1);
         let cold = ColdStart {
