--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,6 +1,7 @@
 //! Speaks the bench's wire on standard input and output; each instance is a [`Gateway`] of its own.
 #![forbid(unsafe_code)]
 
+mod peers;
 mod wire;
 
 use reedwalk_core::*;
@@ -20,6 +21,7 @@
     requests: HashMap<String, RequestId>,
     handles: HashMap<RequestId, Handle>,
     next_request: u64,
+    peers: Option<peers::Side>,
 }
 
 /// A request's name, kept until it is ended and no attempt is out.
@@ -82,6 +84,8 @@
 
 #[derive(Default)]
 struct Link {
+    /// Instances tell each other what they find, where they may.
+    peers: bool,
     instances: BTreeMap<u64, Instance>,
     sheets: BTreeMap<u64, Vec<wire::Entry>>,
 }
@@ -94,7 +98,7 @@
         for (place, raw) in batch.inbox.iter().enumerate() {
             let event: In =
                 serde_json::from_str(raw.get()).map_err(|e| format!("event {}: {e}", place + 1))?;
-            if let Some(id) = self.take(event).map_err(|e| format!("event {}: {e}", place + 1))?
+            if let Some(id) = self.take(event, batch.at).map_err(|e| format!("event {}: {e}", place + 1))?
                 && !touched.contains(&id)
             {
                 touched.push(id);
@@ -104,33 +108,10 @@
         let mut first = true;
         for id in touched {
             let Some(instance) = self.instances.get_mut(&id) else { continue };
-            let events = std::mem::take(&mut instance.events);
-            let mut actions = Vec::new();
-            let gateway = AssertUnwindSafe(&mut instance.gateway);
-            let step = catch_unwind(AssertUnwindSafe(|| {
-                let gateway = gateway;
-                gateway.0.step(Time(batch.at), &events, &mut actions);
-            }));
-            if step.is_err() {
-                write(
-                    reply,
-                    &mut first,
-                    &Out::GiveIn { controller_id: id, words: "the decision module panicked" },
-                );
-                continue;
-            }
-            for event in &events {
-                if let Event::Ended(Ended { request, closed, .. }) = event {
-                    instance.update(*request, |h| {
-                        h.out = h.out.saturating_sub(1);
-                        h.ended |= *closed;
-                    });
-                } else if let Event::Left(request) = event {
-                    instance.update(*request, |h| h.ended = true);
-                }
-            }
-            for action in &actions {
-                instance.carry_out(id, action, reply, &mut first);
+            let mut events = std::mem::take(&mut instance.events);
+            // Once more where something was heard of others.
+            while let Some(heard) = instance.step(id, batch.at, &events, reply, &mut first) {
+                events = heard;
             }
         }
         reply.extend_from_slice(b"]}\n");
@@ -138,7 +119,7 @@
     }
 
     /// Turns one message into an event of its instance.
-    fn take(&mut self, message: In) -> Result<Option<u64>, String> {
+    fn take(&mut self, message: In, at: u64) -> Result<Option<u64>, String> {
         let id = match &message {
             In::Directory { .. } => {
                 if let In::Directory { sheet, lines } = message {
@@ -147,9 +128,11 @@
                 return Ok(None);
             }
             In::Spawn { controller_id, seed, boot_info } => {
-                let settings = reedwalk_settings::read(boot_info).map_err(|e| e.to_string())?.core;
+                let deployment = reedwalk_settings::read(boot_info).map_err(|e| e.to_string())?;
+                let peers = self.peers.then(|| peers::Side::new(&deployment, *seed, peers::millis(at)));
                 let instance = Instance {
-                    gateway: Gateway::new(settings, *seed).map_err(|e| e.to_string())?,
+                    peers: peers.flatten(),
+                    gateway: Gateway::new(deployment.core, *seed).map_err(|e| e.to_string())?,
                     events: Vec::new(),
                     engines: HashMap::new(),
                     addresses: Vec::new(),
@@ -250,7 +233,11 @@
                 let engine = instance.engine(&executor);
                 Some(Event::Probed { engine, outcome: outcome(code), load: feedback.map(load) })
             }
-            In::NoteFrom { .. } | In::Spawn { .. } | In::Detach { .. } | In::Directory { .. } => None,
+            In::NoteFrom { neighbour, body, .. } => {
+                instance.peers.iter_mut().for_each(|p| p.hear(neighbour, &body, peers::millis(at)));
+                None
+            }
+            In::Spawn { .. } | In::Detach { .. } | In::Directory { .. } => None,
         };
         instance.events.extend(event);
         Ok(Some(id))
@@ -258,7 +245,7 @@
 }
 
 fn entry(instance: &mut Instance, line: &wire::Entry) -> EngineEntry {
-    EngineEntry {
+    let entry = EngineEntry {
         engine: instance.engine(&line.executor),
         zone: line.zone.map(ZoneId),
         kind: line.kind.map(KindId),
@@ -269,10 +256,54 @@
             _ => EngineState::Gone,
         },
         started: (line.started > 0).then_some(Time(line.started)),
-    }
+    };
+    instance.peers.iter_mut().for_each(|p| p.list(&line.executor, &entry));
+    entry
 }
 
 impl Instance {
+    /// Takes in what happened and acts; gives what it has then heard of others, if anything.
+    fn step(
+        &mut self,
+        id: u64,
+        at: u64,
+        events: &[Event],
+        reply: &mut Vec<u8>,
+        first: &mut bool,
+    ) -> Option<Vec<Event>> {
+        let mut actions = Vec::new();
+        let gateway = AssertUnwindSafe(&mut self.gateway);
+        let step = catch_unwind(AssertUnwindSafe(|| {
+            let gateway = gateway;
+            gateway.0.step(Time(at), events, &mut actions);
+        }));
+        if step.is_err() {
+            write(reply, first, &Out::GiveIn { controller_id: id, words: "the decision module panicked" });
+            return None;
+        }
+        let now = peers::millis(at);
+        for event in events {
+            if let Event::Ended(ended) = event {
+                self.peers.iter_mut().for_each(|p| p.ended(ended, now));
+                self.update(ended.request, |h| {
+                    h.out = h.out.saturating_sub(1);
+                    h.ended |= ended.closed;
+                });
+            } else if let Event::Left(request) = event {
+                self.update(*request, |h| h.ended = true);
+            }
+        }
+        for action in &actions {
+            self.peers.iter_mut().for_each(|p| p.acted(action, now));
+            self.carry_out(id, action, reply, first);
+        }
+        let (said, heard) = self.peers.as_mut()?.act(now);
+        for (dest, body) in &said {
+            write(reply, first, &Out::BroadcastTo { controller_id: id, dest: *dest, body });
+        }
+        (!heard.is_empty()).then_some(heard)
+    }
+
     fn carry_out(&mut self, id: u64, action: &Action, reply: &mut Vec<u8>, first: &mut bool) {
         let (sent, ended) = match action {
             Action::Send { request, .. } => (Some(*request), None),
@@ -343,7 +374,9 @@
 
 fn main() -> ExitCode {
     let (mut input, mut output) = (std::io::stdin().lock(), std::io::stdout().lock());
-    let (mut link, mut line, mut reply) = (Link::default(), String::new(), Vec::new());
+    let peers = std::env::args().skip(1).any(|a| a == "--peers");
+    let mut link = Link { peers, ..Link::default() };
+    let (mut line, mut reply) = (String::new(), Vec::new());
     for number in 1.. {
         line.clear();
         match input.read_line(&mut line) {
--- /dev/null
+++ b/benchlink/src/peers.rs
@@ -0,0 +1,160 @@
+//! What instances tell each other on the bench's wire: the same decisions as the program's, with the simulator's notes in
+//! place of its datagrams. Off unless the adapter is started with `--peers`, and where the settings forbid it.
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use reedwalk_core::{Action, Ended, EngineEntry, EngineId, EngineState, Event, Outcome, RequestId};
+use reedwalk_peers::{Act, EngineKey, Keys, Kind, Millis, PeerId, Peers, Setup};
+use reedwalk_settings::Deployment;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
+
+/// The clock of the wire may start at 0; that of peers starts at a time after which all that is said is new.
+const START: Millis = 1_000_000_000;
+/// Bytes that an instance tells a second at most.
+const BYTES_MOST: u32 = 8 * 1024;
+
+/// One instance among the others.
+pub struct Side {
+    peers: Peers,
+    listed: BTreeMap<EngineKey, u32>,
+    engines: HashMap<EngineKey, EngineId>,
+    keys: HashMap<EngineId, EngineKey>,
+    /// Where each attempt that is out went, and requests that an engine has answered with an error.
+    out: HashMap<RequestId, EngineId>,
+    erred: HashSet<RequestId>,
+}
+
+/// The wire's clock in milliseconds.
+pub fn millis(at_us: u64) -> Millis {
+    START + at_us / 1000
+}
+
+impl Side {
+    /// An instance that starts at this time; none where it may not tell, or is alone.
+    pub fn new(deployment: &Deployment, seed: u64, now: Millis) -> Option<Self> {
+        let core = &deployment.core;
+        let may = deployment.sockets.may_tell.unwrap_or(false) && core.gateways > 1;
+        let (me, count) = (PeerId::try_from(core.ordinal).ok()?, core.gateways as usize);
+        let setup = Setup { me, count, bytes_most: BYTES_MOST, keys: Keys::default(), beats: false, seed };
+        may.then(|| Self {
+            peers: Peers::new(setup, now),
+            listed: BTreeMap::new(),
+            engines: HashMap::new(),
+            keys: HashMap::new(),
+            out: HashMap::new(),
+            erred: HashSet::new(),
+        })
+    }
+
+    /// A note from another instance; what can't be read is no note of ours.
+    pub fn hear(&mut self, from: u64, body: &str, now: Millis) {
+        let bytes = BASE64_STANDARD.decode(body).unwrap_or_default();
+        let _ = self.peers.receive(PeerId::try_from(from).ok(), &bytes, now);
+    }
+
+    /// What the instance was told of an engine.
+    pub fn list(&mut self, name: &str, entry: &EngineEntry) {
+        let key = EngineKey::from(name);
+        if entry.state == EngineState::Gone {
+            self.listed.remove(&key);
+        } else {
+            self.listed.insert(key, entry.started.map_or(0, |t| (t.0 / 1_000_000) as u32));
+            self.engines.insert(key, entry.engine);
+            self.keys.insert(entry.engine, key);
+        }
+        self.peers.engines(&self.listed);
+    }
+
+    /// An attempt has ended.
+    pub fn ended(&mut self, ended: &Ended, now: Millis) {
+        let Some(engine) = self.out.remove(&ended.request) else { return };
+        let again = ended.outcome == Outcome::Error && !self.erred.insert(ended.request);
+        let failed = matches!(ended.outcome, Outcome::Error | Outcome::Reset | Outcome::ConnectFailed);
+        if failed && !again {
+            self.find(engine, Kind::Erred, now, now);
+        }
+        if ended.closed {
+            self.erred.remove(&ended.request);
+        }
+    }
+
+    /// What the decisions say.
+    pub fn acted(&mut self, action: &Action, now: Millis) {
+        match action {
+            Action::Send { request, engine, .. } => _ = self.out.insert(*request, *engine),
+            Action::Refuse { request, .. } | Action::Fail { request } => _ = self.erred.remove(request),
+            Action::Suspect { engine, silent, lasts } => {
+                let kind = if *silent { Kind::Silent } else { Kind::Fails };
+                self.find(*engine, kind, now + lasts.as_millis() as Millis, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn find(&mut self, engine: EngineId, kind: Kind, until: Millis, now: Millis) {
+        let key = self.keys.get(&engine);
+        key.into_iter().for_each(|key| self.peers.find(*key, kind, until, now));
+    }
+
+    /// What is to be said to whom, in the wire's form, and what is to be heard of.
+    pub fn act(&mut self, now: Millis) -> (Vec<(u64, String)>, Vec<Event>) {
+        let (mut acts, mut said, mut heard) = (Vec::new(), Vec::new(), Vec::new());
+        self.peers.act(now, &mut acts);
+        for act in acts {
+            match act {
+                Act::Send(to, bytes) => said.push((u64::from(to), BASE64_STANDARD.encode(bytes))),
+                Act::Hear(belief) => heard.extend(self.engines.get(&belief.engine).map(|engine| {
+                    let lasts = Duration::from_millis(belief.until.saturating_sub(now));
+                    Event::Hearsay { engine: *engine, lasts }
+                })),
+                Act::Living(count) => heard.push(Event::Living(count)),
+            }
+        }
+        (said, heard)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use reedwalk_core::{AttemptNo, Settings};
+
+    fn side(ordinal: u32, may_tell: Option<bool>) -> Option<Side> {
+        let mut core = Settings::new(Vec::new(), Vec::new());
+        (core.gateways, core.ordinal) = (6, ordinal);
+        let mut deployment = reedwalk_settings::read(&serde_json::json!({"RequestClasses": []})).unwrap();
+        (deployment.core, deployment.sockets.may_tell) = (core, may_tell);
+        let mut side = Side::new(&deployment, 7, millis(0))?;
+        (0..4).for_each(|e| side.list(&format!("10.0.0.{e}:1"), &EngineEntry::new(EngineId(e))));
+        Some(side)
+    }
+
+    #[test]
+    fn notes_carry_what_instances_find_and_four_errors_are_heard_of() {
+        let mut sides: Vec<_> = (0..6).map(|n| side(n, Some(true)).unwrap()).collect();
+        let mut heard = Vec::new();
+        for step in 1..100 {
+            let now = millis(step * 20_000);
+            if step < 5 {
+                // One request each fails at engine 2.
+                let request = RequestId(step);
+                let side = &mut sides[step as usize];
+                side.acted(&Action::Send { request, engine: EngineId(2), timeout: None }, now);
+                let (outcome, attempt) = (Outcome::Error, AttemptNo(0));
+                side.ended(&Ended { request, attempt, outcome, closed: false, bill: None, load: None }, now);
+            }
+            let notes: Vec<_> = sides.iter_mut().map(|s| s.act(now)).collect();
+            for (from, (said, events)) in notes.into_iter().enumerate() {
+                heard.extend(events.into_iter().filter(|_| from == 0));
+                said.iter().for_each(|(to, body)| sides[*to as usize].hear(from as u64, body, now));
+            }
+        }
+        assert!(matches!(heard[..], [Event::Hearsay { engine: EngineId(2), .. }, ..]), "{heard:?}");
+    }
+
+    #[test]
+    fn where_it_is_not_allowed_nothing_is_told() {
+        assert!(side(0, Some(false)).is_none() && side(0, None).is_none());
+    }
+}
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -112,6 +112,10 @@
     },
     NoteFrom {
         controller_id: u64,
+        #[serde(default)]
+        neighbour: u64,
+        #[serde(default)]
+        body: String,
     },
 }
 
@@ -163,6 +167,11 @@
         controller_id: u64,
         words: &'a str,
     },
+    BroadcastTo {
+        controller_id: u64,
+        dest: u64,
+        body: &'a str,
+    },
     GiveIn {
         controller_id: u64,
         words: &'a str,
