--- a/measures/src/bin/measure-peers.rs
+++ b/measures/src/bin/measure-peers.rs
@@ -115,6 +115,7 @@
     for fronts in [20, 100, 300] {
         let mut by_loss = Vec::new();
         for (peers, loss) in [(false, 0.0), (true, 0.0), (true, 0.1), (true, 0.3), (true, 0.5)] {
+            let mut of_seeds = 0.0;
             for seed in SEEDS {
                 let seen = run(fronts, peers, loss, seed);
                 let at = |share: f64| {
@@ -143,11 +144,12 @@
                         seen.knew.iter().enumerate().map(share).collect::<Vec<_>>(),
                     ));
                 }
-                if peers {
-                    by_loss.push((loss, seen.errors as f64));
-                }
+                of_seeds += seen.errors as f64 / SEEDS.len() as f64;
                 last.push((fronts, peers, loss, seen));
             }
+            if peers {
+                by_loss.push((loss, of_seeds));
+            }
         }
         errors.push((format!("{fronts} front ends"), by_loss));
     }
@@ -155,7 +157,7 @@
     std::fs::create_dir_all(folder)?;
     let title = "Share of front ends that leave a bad engine alone, by seconds since it turned bad";
     chart::lines(&folder.join("peers-know.svg"), title, ("seconds", "share"), &lines, &[])?;
-    let title = "Errors at a bad engine in ten seconds, by the share of messages lost (two seeds)";
+    let title = "Errors at a bad engine in ten seconds, by the share of messages lost (mean of two seeds)";
     chart::lines(&folder.join("peers-errors.svg"), title, ("share lost", "errors"), &errors, &[])?;
     let harm: f64 =
         SEEDS.iter().map(|seed| beside_a_liar(false, *seed) - beside_a_liar(true, *seed)).sum::<f64>()
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -585,8 +585,8 @@
             && (engine.trial == 0 || engine.count == 0)
     }
 
-    /// Several others have found an engine to fail. One more sign: it is set aside for a while, but only where
-    /// few are already; then it is on trial.
+    /// Several others have found an engine to fail. One more sign: it is set aside for a while, but only
+    /// where few are already; then it is on trial.
     fn hearsay(&mut self, id: EngineId, lasts: i64) {
         let all = self.engines.values().filter(|e| !e.gone).count() as f64;
         let aside = self.engines.iter().filter(|e| !e.1.gone && *e.0 != id && e.1.hearsay_until > self.now);
