--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -172,7 +172,7 @@
                     Some(scope) => {
                         let lines =
                             sheet.and_then(|s| self.sheets.get(&s)).ok_or("names a sheet not sent")?;
-                        let entries = lines.iter().map(|line| entry(instance, line)).collect();
+                        let entries = lines.iter().map(|line| entry(instance, line, at)).collect();
                         Some(Event::Engines { scope, entries })
                     }
                 }
@@ -244,7 +244,7 @@
     }
 }
 
-fn entry(instance: &mut Instance, line: &wire::Entry) -> EngineEntry {
+fn entry(instance: &mut Instance, line: &wire::Entry, at: u64) -> EngineEntry {
     let entry = EngineEntry {
         engine: instance.engine(&line.executor),
         zone: line.zone.map(ZoneId),
@@ -257,7 +257,7 @@
         },
         started: (line.started > 0).then_some(Time(line.started)),
     };
-    instance.peers.iter_mut().for_each(|p| p.list(&line.executor, &entry));
+    instance.peers.iter_mut().for_each(|p| p.list(&line.executor, &entry, peers::millis(at)));
     entry
 }
 
@@ -297,7 +297,9 @@
             self.peers.iter_mut().for_each(|p| p.acted(action, now));
             self.carry_out(id, action, reply, first);
         }
-        let (said, heard) = self.peers.as_mut()?.act(now);
+        let peers = self.peers.as_mut()?;
+        peers.see(&self.gateway, now);
+        let (said, heard) = peers.act(now);
         for (dest, body) in &said {
             write(reply, first, &Out::BroadcastTo { controller_id: id, dest: *dest, body });
         }
--- a/fleet/src/bin/reedwalk-fleet.rs
+++ b/fleet/src/bin/reedwalk-fleet.rs
@@ -3,14 +3,13 @@
 
 use indicatif::{ProgressBar, ProgressStyle};
 use reedwalk_fleet::chart;
-use reedwalk_fleet::day::{self, Day, Event, Mood, Way};
+use reedwalk_fleet::day::{self, Day, Event, Way};
 use reedwalk_fleet::rig::{Rig, Setup, engine_id};
 use reedwalk_fleet::tcp::Flow;
 use reedwalk_fleet::{Load, Struck};
 use reedwalk_standins::driver::End;
 use reedwalk_standins::model::Shape;
 use reedwalk_standins::record::What;
-use reedwalk_standins::resp;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -23,15 +22,7 @@
             rig.net.split(Some((0..count).map(|n| n % groups.max(&1)).collect()));
         }
         Event::Heal => rig.net.split(None),
-        Event::Engine(engine, mood) => {
-            let mood = match mood {
-                Mood::Well => resp::Mood::Well,
-                Mood::Fails => resp::Mood::Failing,
-                Mood::Silent => resp::Mood::Silent,
-                Mood::Dead => resp::Mood::Dead,
-            };
-            rig.turn(*engine, mood);
-        }
+        Event::Engine(engine, mood) => rig.turn(*engine, *mood),
         Event::Kill(which) => rig.kill(which),
         Event::Restart(which) => rig.restart(which),
         Event::Stop(which) => rig.stop(which),
@@ -106,7 +97,7 @@
     let stopped: Vec<_> = (0..day.fronts).collect();
     rig.wake(&stopped);
     bar.finish_and_clear();
-    let seen = rig.playing.take().map(|p| p.end()).unwrap_or_default();
+    let seen = rig.end_load();
     let seconds = day.lasts.as_secs() as usize + 1;
     let second = |at: Instant| (at.saturating_duration_since(began).as_secs() as usize).min(seconds - 1);
     let mut ends = vec![[0u64; 4]; seconds];
--- a/fleet/src/hostile.rs
+++ b/fleet/src/hostile.rs
@@ -3,7 +3,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use reedwalk_peers::{Datagram, EngineKey, Fact, Key, Keys};
+use reedwalk_peers::{Datagram, EngineKey, Fact, Key, Keys, Kind};
 use std::net::{SocketAddr, UdpSocket};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -47,14 +47,37 @@
     /// Says that these engines fail, for as long as can be said.
     pub fn accuse(&mut self, engines: &[String]) {
         for few in engines.chunks(6) {
-            let fact =
-                |e: &String| Fact { engine: EngineKey::from(e.as_str()), started: 0, kind: 0, left: 1_000 };
+            let fact = |e: &String| Fact {
+                engine: EngineKey::from(e.as_str()),
+                started: 0,
+                kind: 0,
+                left: 1_000,
+                much: 0,
+            };
             let datagram = self.datagram(few.iter().map(fact).collect());
             self.last = self.keys.seal(&datagram);
             self.say(&self.last);
         }
     }
 
+    /// Says that these engines are as slow as can be said, and have started anew just now.
+    pub fn disparage(&mut self, engines: &[String]) {
+        let now = (micros() / 1_000_000) as u32;
+        for few in engines.chunks(4) {
+            let facts = few.iter().flat_map(|e| {
+                [(Kind::Slow, 0, 255), (Kind::Cold, now, 0)].map(|(kind, started, much)| Fact {
+                    engine: EngineKey::from(e.as_str()),
+                    started,
+                    kind: kind.into(),
+                    left: 1_000,
+                    much,
+                })
+            });
+            let datagram = self.datagram(facts.collect());
+            self.say(&self.keys.seal(&datagram));
+        }
+    }
+
     /// Says the same in the name of every other front end.
     pub fn accuse_as_others(&mut self, engines: &[String], count: usize) {
         let own = self.from;
--- a/fleet/src/load.rs
+++ b/fleet/src/load.rs
@@ -3,9 +3,10 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
-use reedwalk_standins::driver::{End, Line};
+use reedwalk_standins::driver::{End, Idle, Line};
 use reedwalk_standins::mysql::packet;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::runtime::Handle;
@@ -54,7 +55,9 @@
     pub seen: Arc<Mutex<Vec<Asked>>>,
     addresses: Arc<Mutex<Vec<Option<SocketAddr>>>>,
     on: Arc<watch::Sender<bool>>,
-    open: Arc<std::sync::atomic::AtomicUsize>,
+    open: Arc<AtomicUsize>,
+    /// Sessions on which something came that nobody had asked for: a second answer.
+    unasked: Arc<AtomicUsize>,
 }
 
 const CLASSES: [(&str, f64); 3] = [("lookup", 1.0), ("statement", 3.0), ("batch-post", 2.0)];
@@ -68,6 +71,7 @@
             addresses: Arc::new(Mutex::new(addresses)),
             on: Arc::new(watch::channel(true).0),
             open: Arc::default(),
+            unasked: Arc::default(),
         };
         for front in 0..self.rates.len() {
             runtime.spawn(at_one(self.clone(), front, playing.clone()));
@@ -86,25 +90,34 @@
     pub fn end(&self) -> Vec<Asked> {
         self.on.send_replace(false);
         let by = Instant::now() + Duration::from_secs(15);
-        while self.open.load(std::sync::atomic::Ordering::Acquire) > 0 {
+        while self.open.load(Ordering::Acquire) > 0 {
             assert!(Instant::now() < by, "requests that never end");
             std::thread::sleep(Duration::from_millis(5));
         }
         self.seen.lock().unwrap().clone()
     }
+
+    /// Sessions on which a second answer came, as far as they were used again.
+    pub fn unasked(&self) -> usize {
+        self.unasked.load(Ordering::Acquire)
+    }
 }
 
-type Lines = Arc<Mutex<Vec<(SocketAddr, Line)>>>;
+/// Sessions of one front end's clients that wait for their next request.
+#[derive(Clone)]
+struct Sessions {
+    kept: Arc<Mutex<Vec<(SocketAddr, Line)>>>,
+    unasked: Arc<AtomicUsize>,
+}
 
 async fn at_one(load: Load, front: usize, playing: Playing) {
-    use std::sync::atomic::Ordering;
     let mut rng = StdRng::seed_from_u64(load.seed ^ (front as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15));
     if load.rates[front] <= 0.0 {
         return;
     }
     let gap = Exp::new(load.rates[front]).unwrap();
     let work = LogNormal::new(load.work_ms.ln(), load.spread).unwrap();
-    let lines = Lines::default();
+    let sessions = Sessions { kept: Arc::default(), unasked: playing.unasked.clone() };
     let mut next = tokio::time::Instant::now();
     let mut on = playing.on.subscribe();
     loop {
@@ -120,10 +133,10 @@
             _ = on.wait_for(|on| !*on) => return,
         }
         let Some(address) = playing.addresses.lock().unwrap()[front] else { continue };
-        let (lines, playing, patience) = (lines.clone(), playing.clone(), load.patience_ms);
+        let (sessions, playing, patience) = (sessions.clone(), playing.clone(), load.patience_ms);
         playing.open.fetch_add(1, Ordering::AcqRel);
         tokio::spawn(async move {
-            let asked = one(address, front, class, work, number, patience, lines).await;
+            let asked = one(address, front, class, work, number, patience, sessions).await;
             playing.seen.lock().unwrap().push(asked);
             playing.open.fetch_sub(1, Ordering::AcqRel);
         });
@@ -137,7 +150,7 @@
     work: f64,
     number: u64,
     patience: u64,
-    lines: Lines,
+    sessions: Sessions,
 ) -> Asked {
     let (route, threads) = CLASSES[class];
     let trace = format!("{number:016x}");
@@ -151,8 +164,12 @@
     let query = packet(0, &[&[3], text.as_bytes()].concat());
     let (at, until) = (Instant::now(), tokio::time::Instant::now() + Duration::from_millis(patience + 500));
     let kept = {
-        let mut lines = lines.lock().unwrap();
-        lines.retain(|l| l.0 == address && !l.1.closed());
+        let mut lines = sessions.kept.lock().unwrap();
+        lines.retain(|l| {
+            let idle = l.1.idle();
+            sessions.unasked.fetch_add(usize::from(idle == Idle::Spoke), Ordering::AcqRel);
+            l.0 == address && idle == Idle::Open
+        });
         lines.pop()
     };
     let ask = async {
@@ -165,7 +182,7 @@
     };
     let end = match timeout_at(until, ask).await.ok().flatten() {
         Some((line, end)) => {
-            let mut lines = lines.lock().unwrap();
+            let mut lines = sessions.kept.lock().unwrap();
             if lines.len() < KEPT {
                 lines.push((address, line));
             }
--- a/fleet/src/udp.rs
+++ b/fleet/src/udp.rs
@@ -2,6 +2,7 @@
 //! is sent to it comes. So each direction of each pair has a fault of its own, which may change at any time.
 
 use crate::fault::{Dice, Fault, Struck};
+use reedwalk_peers::Keys;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -19,8 +20,11 @@
     /// Front ends by the address that they send from, and that address of each.
     from: HashMap<SocketAddr, usize>,
     real: Vec<Option<SocketAddr>>,
-    /// All that each has sent: when, and how many bytes.
-    sent: Vec<Vec<(Instant, usize)>>,
+    /// All that each has sent: when it came here, when it was sent by the datagram's own word in microseconds, and how
+    /// many bytes.
+    sent: Vec<Vec<(Instant, u64, usize)>>,
+    /// To read that word with.
+    keys: Keys,
     largest: usize,
 }
 
@@ -33,8 +37,8 @@
 }
 
 impl PeerNet {
-    /// Opens it for so many front ends, on the runtime of this handle.
-    pub fn open(count: usize, seed: u64, runtime: &Handle) -> Self {
+    /// Opens it for so many front ends that sign with these keys, on the runtime of this handle.
+    pub fn open(count: usize, keys: Keys, seed: u64, runtime: &Handle) -> Self {
         let _guard = runtime.enter();
         let socket = |_| {
             let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
@@ -54,6 +58,7 @@
             from: HashMap::new(),
             real: vec![None; count],
             sent: vec![Vec::new(); count],
+            keys,
             largest: 0,
         };
         let net = Self {
@@ -103,13 +108,15 @@
         self.inner().largest
     }
 
-    /// The most bytes that a front end has sent in any second.
+    /// The most bytes that a front end has sent in any second, by the times at which it sent them: on a machine that is
+    /// full, what was sent over a while may all come here in one moment.
     pub fn most_in_a_second(&self, front: usize) -> usize {
-        let inner = self.inner();
-        let (sent, mut first, mut bytes, mut most) = (&inner.sent[front], 0, 0, 0);
-        for (at, more) in sent {
+        let mut sent: Vec<_> = self.inner().sent[front].iter().map(|s| (s.1, s.2)).collect();
+        sent.sort_unstable();
+        let (mut first, mut bytes, mut most) = (0, 0, 0);
+        for (at, more) in &sent {
             bytes += more;
-            while at.duration_since(sent[first].0).as_secs_f64() >= 1.0 {
+            while at - sent[first].0 >= 1_000_000 {
                 bytes -= sent[first].1;
                 first += 1;
             }
@@ -120,7 +127,7 @@
 
     /// Bytes that a front end has sent since then.
     pub fn sent_since(&self, front: usize, since: Instant) -> usize {
-        self.inner().sent[front].iter().filter(|s| s.0 >= since).map(|s| s.1).sum()
+        self.inner().sent[front].iter().filter(|s| s.0 >= since).map(|s| s.2).sum()
     }
 
     async fn carry(self, to: usize) {
@@ -134,7 +141,10 @@
                     inner.struck.unknown += 1;
                     continue;
                 };
-                inner.sent[sender].push((Instant::now(), size));
+                // What can't be read counts beside what its sender sent last.
+                let last = inner.sent[sender].last().map_or(0, |s| s.1);
+                let stamp = inner.keys.open(&buffer[..size]).map_or(last, |d| d.sent);
+                inner.sent[sender].push((Instant::now(), stamp, size));
                 inner.largest = inner.largest.max(size);
                 let apart = inner.groups.as_ref().is_some_and(|g| g[sender] != g[to]);
                 let own = inner.pairs.get(&(sender, to)).copied().unwrap_or(inner.usual);
--- a/gateway/src/broker/message.rs
+++ b/gateway/src/broker/message.rs
@@ -3,14 +3,14 @@
 use crate::contracts::Verdict;
 use crate::engine::Gate;
 use bytes::Bytes;
-use reedwalk_core::{Bill, ClassId, EngineEntry, EngineId, LoadReport, Note, Outcome, RequestId};
+use reedwalk_core::{Bill, ClassId, EngineEntry, EngineId, LoadReport, Look, Note, Outcome, RequestId, Time};
 use reedwalk_store::keyed::{Claimed, Sent};
 use std::any::Any;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
 
 /// A whole result: rows of text cells, in the engine's order. `None` is NULL.
@@ -136,6 +136,15 @@
     pub until: Instant,
 }
 
+/// Where other front ends hear of what this one finds and sees.
+#[derive(Clone, Debug)]
+pub struct Others {
+    /// Findings, each told as it is made.
+    pub findings: mpsc::Sender<Finding>,
+    /// How engines look, told now and then.
+    pub views: watch::Sender<Vec<Look>>,
+}
+
 /// What was found of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Found {
@@ -230,6 +239,10 @@
     Marked(AttemptKey, Sent, Option<bool>),
     /// Several other front ends have found that an engine is to be left alone until then.
     Hearsay(EngineId, Instant),
+    /// Several other front ends know that an engine has started anew then.
+    Restarted(EngineId, Time),
+    /// How many times as long as at ease a query takes there, by what several other front ends see.
+    Looks(EngineId, f64),
     /// So many front ends are at work.
     Living(f64),
 }
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -96,8 +96,8 @@
     pub part: watch::Receiver<Part>,
     /// The store in which front ends share the keys of requests, if they do.
     pub keys: Option<Arc<Link>>,
-    /// Where other front ends hear of what is found here, if they do.
-    pub findings: Option<mpsc::Sender<Finding>>,
+    /// Where other front ends hear of what is found and seen here, if they do.
+    pub others: Option<Others>,
 }
 
 /// The one owner of the decision module.
@@ -243,6 +243,8 @@
                 self.pending.push(Event::Hearsay { engine, lasts });
             }
             Input::Living(count) => self.pending.push(Event::Living(count)),
+            Input::Restarted(engine, at) => self.pending.push(Event::Started { engine, at }),
+            Input::Looks(engine, slowdown) => self.pending.push(Event::Looks { engine, slowdown }),
             Input::News(key, News::Noted(note)) => {
                 if let Some(out) = self.attempts.get(&key) {
                     self.pending.push(Event::Noted { request: out.request, attempt: out.number, note });
@@ -605,10 +607,10 @@
 
     /// Lets other front ends hear of it. Where the line is full, they do when it is found again.
     fn tell(&self, finding: Finding) {
-        self.shared.findings.iter().for_each(|f| _ = f.try_send(finding));
+        self.shared.others.iter().for_each(|o| _ = o.findings.try_send(finding));
     }
 
-    /// A line of counts, every second in which something was taken or answered.
+    /// A line of counts, every second in which something was taken or answered, and how engines look for the others.
     fn report(&mut self, now: Instant) {
         if now - self.told.0 >= Duration::from_secs(1) {
             if self.told.1 != self.tally {
@@ -618,6 +620,8 @@
                     "out" => self.attempts.len());
             }
             self.told = (now, self.tally);
+            let looks = || self.gateway.views().collect();
+            self.shared.others.iter().for_each(|o| _ = o.views.send_replace(looks()));
         }
     }
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -7,8 +7,10 @@
 use crate::members::Members;
 use crate::names::Source;
 use crate::operator::Fault;
-use reedwalk_core::EngineId;
-use reedwalk_peers::{Act, EngineKey, Key, Keys, Kind, LENGTH_MOST, Millis, PeerId, Peers, Setup};
+use reedwalk_core::{EngineId, Look, Time};
+use reedwalk_peers::{
+    Act, EngineKey, Key, Keys, Kind, LENGTH_MOST, Millis, PeerId, Peers, Seen, Setup, View,
+};
 use slog::{Logger, debug, error, info, warn};
 use std::collections::{BTreeMap, HashMap};
 use std::io::ErrorKind;
@@ -141,6 +143,8 @@
     pub queue: mpsc::Sender<Input>,
     /// What this front end finds.
     pub findings: mpsc::Receiver<Finding>,
+    /// How engines look to it.
+    pub views: watch::Receiver<Vec<Look>>,
     /// Changes when the configuration is read again; the keys are then, too.
     pub sources: watch::Receiver<Source>,
     /// Set once this process ends: the next one takes the address.
@@ -205,6 +209,7 @@
             if Instant::now() >= look {
                 look = Instant::now() + LIST_EVERY;
                 self.list();
+                self.see();
                 self.report();
             }
             let due = self.peers.due().min(self.now() + LIST_EVERY.as_millis() as Millis);
@@ -284,11 +289,25 @@
         });
         self.engines = engines;
         if self.listed != listed {
-            self.peers.engines(&listed);
+            self.peers.engines(&listed, self.now());
             self.listed = listed;
         }
     }
 
+    /// Takes how engines look to this front end, where that is new.
+    fn see(&mut self) {
+        if !self.around.views.has_changed().unwrap_or(false) {
+            return;
+        }
+        let named: HashMap<_, _> = self.engines.iter().map(|(key, id)| (*id, *key)).collect();
+        let seen = |look: &Look| {
+            let engine = *named.get(&look.engine)?;
+            Some(Seen { engine, slowdown: look.slowdown, threads: look.threads })
+        };
+        let seen: Vec<_> = self.around.views.borrow_and_update().iter().filter_map(seen).collect();
+        self.peers.see(&seen, self.now());
+    }
+
     /// Reads the keys again; where one is not as it has to be, the old ones stay.
     fn rekey(&mut self) {
         match read_keys(&self.tier.keys) {
@@ -311,6 +330,21 @@
                     let _ = self.around.queue.try_send(Input::Hearsay(engine, until));
                 }
             }
+            Act::Look(view) => {
+                let key = match view {
+                    View::Restarted(key, _) | View::Slow(key, _) => key,
+                };
+                let Some(&engine) = self.engines.get(&key) else { return };
+                let input = match view {
+                    View::Restarted(_, second) => {
+                        info!(self.log, "others know it anew"; "engine" => engine.0, "started" => second);
+                        Input::Restarted(engine, Time(u64::from(second) * 1_000_000))
+                    }
+                    View::Slow(_, slowdown) => Input::Looks(engine, slowdown),
+                };
+                // Where the broker has no room it is said again by those who go on seeing it.
+                let _ = self.around.queue.try_send(input);
+            }
             Act::Living(count) => self.owed = Some(count),
         }
         if let Some(count) = self.owed.take_if(|c| self.around.queue.try_send(Input::Living(*c)).is_ok()) {
@@ -321,6 +355,7 @@
     fn report(&mut self) {
         let now = self.now();
         let (tally, living) = (self.peers.tally(), self.peers.living(now));
+        let used: f64 = self.listed.keys().filter_map(|engine| self.peers.used(*engine, now)).sum();
         if living != self.living {
             info!(self.log, "front ends living"; "now" => living, "before" => self.living);
             self.living = living;
@@ -340,6 +375,8 @@
             ("kept_back", tally.kept_back, 'c'),
             ("believed", tally.believed, 'c'),
             ("engines_aside", self.peers.believed(now) as u64, 'g'),
+            ("views", tally.views, 'c'),
+            ("threads_told", used.round() as u64, 'g'),
         ]);
     }
 }
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -1,6 +1,6 @@
 //! Puts the parts together and runs them.
 
-use crate::broker::{Broker, Desk, EngineLinks, QUEUE, Roll, Shared};
+use crate::broker::{Broker, Desk, EngineLinks, Others, QUEUE, Roll, Shared};
 use crate::config::{Config, ConfigError, Limits};
 use crate::console::{Console, Health};
 use crate::contracts::{BadContract, Contracts};
@@ -185,9 +185,9 @@
     let link = link(&operator, window.max().unwrap_or_default(), log)?;
     let keys = link.clone().filter(|l| l.terms().share_keys);
     let (findings, found) = mpsc::channel(peers::FINDINGS);
-    let findings = tier.is_some().then_some(findings);
-    let shared =
-        Shared { roll: Roll::default(), figures: figures.clone(), part: part.clone(), keys, findings };
+    let (views, seen) = watch::channel(Vec::new());
+    let others = tier.is_some().then_some(Others { findings, views });
+    let shared = Shared { roll: Roll::default(), figures: figures.clone(), part: part.clone(), keys, others };
     let keep = kept.as_ref().map(|(folder, stem)| Keep::new(folder, stem));
     let members_log = log.new(o!("part" => "members"));
     let gates = Gates::new(deployment.core.rules.drain_grace);
@@ -204,6 +204,7 @@
             members: members.clone(),
             queue: queue.clone(),
             findings: found,
+            views: seen,
             sources: sources.clone(),
             closing,
             figures: figures.clone(),
--- a/measures/src/bin/measure-peers.rs
+++ b/measures/src/bin/measure-peers.rs
@@ -63,7 +63,7 @@
     knew.sort_by(f64::total_cmp);
     let bytes: usize = (0..fronts).map(|f| rig.net.sent_since(f, turned)).sum();
     let errors = rig.attempts_since(0, turned);
-    let seen = rig.playing.take().map(|p| p.end()).unwrap_or_default();
+    let seen = rig.end_load();
     let served = seen.iter().filter(|a| a.end == End::Served).count() as f64 / seen.len().max(1) as f64;
     let struck = rig.struck();
     assert!(!peers || loss == 0.0 || struck.lost > 0, "the fault never struck: {struck}");
--- a/peers/src/alive.rs
+++ b/peers/src/alive.rs
@@ -69,9 +69,9 @@
         peer == self.me || life.is_some_and(|l| now.saturating_sub(l.since) < self.dead_after)
     }
 
-    /// The latest sign of life and when it came; none where nothing was ever heard.
-    pub(crate) fn latest(&self, peer: PeerId) -> Option<(u64, Millis)> {
-        self.lives.get(usize::from(peer)).filter(|l| l.beat > 0).map(|l| (l.beat, l.since))
+    /// The latest sign of life; none where nothing was ever heard.
+    pub(crate) fn latest(&self, peer: PeerId) -> Option<u64> {
+        self.lives.get(usize::from(peer)).filter(|l| l.beat > 0).map(|l| l.beat)
     }
 
     /// How many live, this one included.
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -8,12 +8,14 @@
 mod news;
 mod pace;
 mod peers;
+mod views;
 mod wire;
 
 pub use alive::{Alive, LEAST_SHARE};
 pub use news::{Belief, EngineKey, News, WITNESSES};
 pub use pace::Pace;
 pub use peers::{Act, Peers, Setup, Tally, dead_after};
+pub use views::{Seen, VIEWERS, View, Views};
 pub use wire::{BadDatagram, Beat, Datagram, Fact, Key, Keys, Kind, LENGTH_MOST, ShortKey};
 
 /// Number of a front end in its tier, from 0; its place in the list of peers.
--- a/peers/src/news.rs
+++ b/peers/src/news.rs
@@ -186,6 +186,7 @@
             started: own.0,
             kind: own.1,
             left: left(own.2),
+            much: 0,
         };
         let begin = self.turn % self.own.len().max(1);
         self.turn = begin + most;
@@ -213,7 +214,7 @@
     }
 
     fn fact(engine: u64, left: u16) -> Fact {
-        Fact { engine: EngineKey(engine), started: 0, kind: Kind::Fails.into(), left }
+        Fact { engine: EngineKey(engine), started: 0, kind: Kind::Fails.into(), left, much: 0 }
     }
 
     #[test]
--- a/peers/src/peers.rs
+++ b/peers/src/peers.rs
@@ -3,7 +3,8 @@
 use crate::alive::{AHEAD, Alive};
 use crate::news::{Belief, EngineKey, News};
 use crate::pace::Pace;
-use crate::wire::{BadDatagram, Datagram, Keys, Kind, LENGTH_MOST};
+use crate::views::{Seen, View, Views};
+use crate::wire::{BadDatagram, Datagram, Fact, Keys, Kind, LENGTH_MOST};
 use crate::{Millis, PeerId};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -19,6 +20,11 @@
 const PASSES: u32 = 3;
 /// Facts in a datagram at most.
 const FACTS: usize = 8;
+/// Views of engines go to one other so often, drawn as signs of life are, in datagrams of their own: signs of life keep
+/// their room. Each hears so many of them a second whatever the size of the fleet.
+const VIEWS_EVERY: Millis = 250;
+/// And so often while there is more to tell than what is usual.
+const NEWS_EVERY: Millis = 80;
 /// A front end that was not run for so long has slept: what it finds in the next moments is of its own making.
 const SLEPT: Millis = 1_000;
 /// What is older than this on our clock is not taken.
@@ -43,7 +49,7 @@
     pub bytes_most: u32,
     /// Keys; with none, datagrams are not signed.
     pub keys: Keys,
-    /// Signs of life are told. Without them only news is, and nobody is ever taken for dead.
+    /// Signs of life and views of engines are told. Without them only news is, and nobody is ever taken for dead.
     pub beats: bool,
     /// For random numbers.
     pub seed: u64,
@@ -62,6 +68,8 @@
     Send(PeerId, Vec<u8>),
     /// Enough others speak against an engine.
     Hear(Belief),
+    /// How an engine looks to others.
+    Look(View),
     /// So many front ends are to be reckoned with.
     Living(f64),
 }
@@ -93,6 +101,8 @@
     pub kept_back: u64,
     /// Engines set aside on what others said.
     pub believed: u64,
+    /// Times that enough others said of an engine how it looks.
+    pub views: u64,
 }
 
 /// What is remembered of one other front end.
@@ -103,6 +113,16 @@
     pace: Pace,
 }
 
+/// What a datagram is for.
+enum Telling {
+    /// Signs of life, with the news that there is.
+    Beats,
+    /// News alone.
+    News,
+    /// How engines look.
+    Views(Vec<Fact>),
+}
+
 /// All that one front end knows of the others, and by them.
 #[derive(Debug)]
 pub struct Peers {
@@ -111,12 +131,14 @@
     others: Vec<Other>,
     alive: Alive,
     news: News,
+    views: Views,
     pace: Pace,
     rng: StdRng,
     /// Microseconds of the last datagram: the next one is later.
     sent: u64,
     next_beat: Millis,
     next_push: Millis,
+    next_views: Millis,
     /// Who is still to be told the news, and how often all of them after that.
     to_tell: Vec<PeerId>,
     passes: u32,
@@ -141,11 +163,13 @@
             others: vec![other; setup.count],
             alive: Alive::new(setup.me, setup.count, dead_after, now),
             news: News::default(),
+            views: Views::default(),
             pace: Pace::new(most * RATE, burst, now),
             rng,
             sent: now * 1000,
             next_beat,
             next_push: now,
+            next_views: next_beat,
             to_tell: Vec::new(),
             passes: 0,
             acted: now,
@@ -183,12 +207,26 @@
 
     /// Things remembered, for watching that they stay bounded.
     pub fn held(&self) -> usize {
-        self.others.len() + self.to_tell.len() + self.news.held()
+        self.others.len() + self.to_tell.len() + self.news.held() + self.views.held()
     }
 
     /// The engines that there are, with the second of their start (0: long ago).
-    pub fn engines(&mut self, listed: &BTreeMap<EngineKey, u32>) {
+    pub fn engines(&mut self, listed: &BTreeMap<EngineKey, u32>, now: Millis) {
         self.news.engines(listed);
+        self.views.engines(listed, now);
+    }
+
+    /// How engines look to this front end.
+    pub fn see(&mut self, seen: &[Seen], now: Millis) {
+        self.wake(now);
+        if now >= self.deaf_until {
+            self.views.see(seen, now);
+        }
+    }
+
+    /// Threads that all the others use at an engine, by what a few of them say.
+    pub fn used(&self, engine: EngineKey, now: Millis) -> Option<f64> {
+        self.views.used(engine, self.living(now) - 1, now)
     }
 
     /// This front end has found by its own traffic that an engine is to be left alone until then, or has seen one attempt
@@ -252,6 +290,7 @@
         if datagram.born > other.born {
             // It has restarted: what it found in its life before is not known to it any more.
             self.news.forget(from);
+            self.views.forget(from);
         }
         (other.born, other.sent) = (datagram.born, datagram.sent);
         self.alive.beat(from, Datagram::steps(sent), now);
@@ -260,6 +299,7 @@
         }
         for fact in &datagram.facts {
             self.news.hear(from, fact, now);
+            self.views.hear(from, fact, now);
         }
         Ok(())
     }
@@ -276,7 +316,8 @@
 
     /// When [`Peers::act`] is wanted next, if nothing happens before.
     pub fn due(&self) -> Millis {
-        if self.passes > 0 { self.next_beat.min(self.next_push) } else { self.next_beat }
+        let due = self.next_beat.min(self.next_views);
+        if self.passes > 0 { due.min(self.next_push) } else { due }
     }
 
     /// What is to be done now.
@@ -287,7 +328,15 @@
             // One in some goes to any, so that who was taken for dead hears of the others again.
             let living = self.rng.random_range(0..4) > 0;
             let to = self.draw(living, now);
-            to.into_iter().for_each(|to| _ = self.send(to, 0.0, now, acts));
+            to.into_iter().for_each(|to| _ = self.send(to, Telling::Beats, now, acts));
+        }
+        if now >= self.next_views {
+            let every = if self.views.has_news(now) { NEWS_EVERY } else { VIEWS_EVERY };
+            self.next_views = now + self.rng.random_range(every / 2..=every + every / 2);
+            let facts = if now >= self.deaf_until { self.views.facts(FACTS, now) } else { Vec::new() };
+            if let Some(to) = self.draw(true, now).filter(|_| !facts.is_empty()) {
+                self.send(to, Telling::Views(facts), now, acts);
+            }
         }
         if self.passes > 0 && now >= self.next_push {
             self.next_push = now + PUSH_EVERY;
@@ -299,6 +348,9 @@
             belief.until -= self.rng.random_range(0..=(belief.until - now) / 2);
             acts.push(Act::Hear(belief));
         }
+        let views = self.views.views(now);
+        self.tally.views += views.len() as u64;
+        acts.extend(views.into_iter().map(Act::Look));
         let counted = self.alive.counted(now);
         if (counted - self.counted).abs() > 0.02 * self.counted
             || counted == self.others.len() as f64 && self.counted < counted
@@ -321,8 +373,7 @@
         }
         for _ in 0..PUSH {
             let Some(&to) = self.to_tell.last() else { break };
-            let leaves = f64::from(self.setup.bytes_most) * BURST * LEFT;
-            if !self.send(to, leaves, now, acts) {
+            if !self.send(to, Telling::News, now, acts) {
                 return;
             }
             self.to_tell.pop();
@@ -356,11 +407,18 @@
         from_there.clone().next()
     }
 
-    fn send(&mut self, to: PeerId, leaves: f64, now: Millis, acts: &mut Vec<Act>) -> bool {
+    fn send(&mut self, to: PeerId, what: Telling, now: Millis, acts: &mut Vec<Act>) -> bool {
         self.sent = (self.sent + 1).max(now * 1000);
         let mut datagram =
             Datagram { from: self.setup.me, born: self.born, sent: self.sent, ..Datagram::default() };
-        datagram.facts = if now >= self.deaf_until { self.news.facts(FACTS, now) } else { Vec::new() };
+        // Of what is told beside them, a part of the bucket stays for signs of life.
+        let bucket = f64::from(self.setup.bytes_most) * BURST;
+        let leaves = if matches!(what, Telling::Beats) { 0.0 } else { bucket * LEFT };
+        datagram.facts = match what {
+            Telling::Views(facts) => facts,
+            _ if now >= self.deaf_until => self.news.facts(FACTS, now),
+            _ => Vec::new(),
+        };
         if leaves == 0.0 {
             self.beats(to, &mut datagram, now);
         }
@@ -388,7 +446,7 @@
             if id == to || id == self.setup.me || !self.alive.lives(id, now) {
                 continue;
             }
-            let beat = self.alive.latest(id).and_then(|l| datagram.beat((peer + count - last) % count, l.0));
+            let beat = self.alive.latest(id).and_then(|l| datagram.beat((peer + count - last) % count, l));
             let Some(beat) = beat else { continue };
             if datagram.beats.len() >= room / 2 {
                 return;
--- a/peers/src/wire.rs
+++ b/peers/src/wire.rs
@@ -9,7 +9,7 @@
 /// Bytes of a datagram at most, as the protocol page allows.
 pub const LENGTH_MOST: usize = 256;
 /// First byte of every datagram; a later form of them has another.
-const VERSION: u8 = 0x71;
+const VERSION: u8 = 0x72;
 /// Bytes of a signature: half of an HMAC-SHA256, as RFC 2104 allows.
 const SIGNATURE: usize = 16;
 const CHECKSUM: usize = 4;
@@ -27,17 +27,23 @@
     Silent,
     /// One attempt there has just failed; what a client asked may be at fault.
     Erred,
+    /// It has started anew, at the second that the fact bears.
+    Cold,
+    /// Queries take long there: as many sixteenths of what they take at ease.
+    Slow,
+    /// So many sixteenths of a thread the sender uses there.
+    Uses,
     /// A kind that this program does not know of; it is passed over.
     Other(u8),
 }
 
 impl Kind {
-    /// What it is worth beside the same from other origins.
+    /// What it is worth against an engine, beside the same from other origins.
     pub(crate) fn weight(self) -> f64 {
         match self {
             Self::Fails | Self::Silent => 1.0,
             Self::Erred => 0.5,
-            Self::Other(_) => 0.0,
+            Self::Cold | Self::Slow | Self::Uses | Self::Other(_) => 0.0,
         }
     }
 }
@@ -48,6 +54,9 @@
             0 => Self::Fails,
             1 => Self::Silent,
             2 => Self::Erred,
+            3 => Self::Cold,
+            4 => Self::Slow,
+            5 => Self::Uses,
             other => Self::Other(other),
         }
     }
@@ -59,6 +68,9 @@
             Kind::Fails => 0,
             Kind::Silent => 1,
             Kind::Erred => 2,
+            Kind::Cold => 3,
+            Kind::Slow => 4,
+            Kind::Uses => 5,
             Kind::Other(number) => number,
         }
     }
@@ -75,6 +87,8 @@
     pub kind: u8,
     /// How long it holds from the send on, in hundredths of a second.
     pub left: u16,
+    /// How much, where the kind says of what; else 0.
+    pub much: u8,
 }
 
 /// A sign of life: a front end said something at this time of its own clock, or was heard to have.
@@ -248,7 +262,7 @@
     use super::*;
 
     fn datagram() -> Datagram {
-        let fact = Fact { engine: EngineKey(u64::MAX), started: 7, kind: 0, left: 800 };
+        let fact = Fact { engine: EngineKey(u64::MAX), started: 7, kind: 0, left: 800, much: 0 };
         let mut datagram =
             Datagram { from: 3, born: 1_700_000_000_000, sent: 1_700_000_000_123_456, ..Datagram::default() };
         datagram.facts = vec![fact];
--- /dev/null
+++ b/recovery/tests/crash.rs
@@ -0,0 +1,290 @@
+//! Loss of power at every write, sync and rename, with every choice of what the disk then has: what was promised is there,
+//! and nothing that was never written is.
+
+use proptest::prelude::*;
+use reedwalk_recovery::keep::{Files, Keeper, look};
+use reedwalk_recovery::memory::{EngineMemory, KeyMemory, Memory, Reached};
+use reedwalk_recovery::record::{self, Owner, Unsound};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+
+const OWNER: Owner = Owner { host: 11, front: 22, settings: 33 };
+const NOW: u64 = 1_700_000_000_000;
+
+/// What a disk makes of what was not synced when power goes.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Lost,
+    Half,
+    There,
+}
+
+/// A folder as a disk has it. Contents and names each last only once they were synced.
+#[derive(Clone, Debug, Default)]
+struct Disk {
+    /// By the number of the file: what is synced, and what is there while power is.
+    files: BTreeMap<u32, (Vec<u8>, Vec<u8>)>,
+    synced: BTreeMap<String, u32>,
+    names: BTreeMap<String, u32>,
+    next: u32,
+    /// Operations until power goes; that one may be done in part.
+    left: Cell<Option<u32>>,
+    /// Operations that fail, by their number, without a loss of power.
+    fails: Option<u32>,
+    done: u32,
+}
+
+impl Disk {
+    /// How much of an operation is done: all, or half and then nothing ever again.
+    fn step(&mut self) -> Result<bool, String> {
+        self.done += 1;
+        if self.fails == Some(self.done) {
+            return Err("input or output error".into());
+        }
+        match self.left.get() {
+            Some(0) => Err("no power".into()),
+            Some(left) => {
+                self.left.set(Some(left - 1));
+                Ok(left > 1)
+            }
+            None => Ok(true),
+        }
+    }
+
+    /// Power is back.
+    fn back(&self, fate: Fate) -> Self {
+        let content = |(synced, there): &(Vec<u8>, Vec<u8>)| match fate {
+            Fate::Lost => synced.clone(),
+            Fate::There => there.clone(),
+            Fate::Half => {
+                let common = synced.iter().zip(there).take_while(|p| p.0 == p.1).count();
+                there[..common + (there.len() - common) / 2].to_vec()
+            }
+        };
+        let names = if matches!(fate, Fate::Lost) { &self.synced } else { &self.names };
+        let files = self.files.iter().map(|(n, f)| (*n, (content(f), content(f)))).collect();
+        Self { files, synced: names.clone(), names: names.clone(), next: self.next, ..Self::default() }
+    }
+}
+
+impl Files for Disk {
+    type Error = String;
+
+    fn names(&self) -> Result<Vec<String>, String> {
+        Ok(self.names.keys().cloned().collect())
+    }
+
+    fn read(&self, name: &str, most: usize) -> Result<Vec<u8>, String> {
+        let file = self.names.get(name).ok_or("no such file")?;
+        let there = &self.files[file].1;
+        Ok(there[..there.len().min(most + 1)].to_vec())
+    }
+
+    fn write(&mut self, name: &str, bytes: &[u8]) -> Result<(), String> {
+        let whole = self.step()?;
+        let number = match self.names.get(name) {
+            Some(number) => *number,
+            None => {
+                self.next += 1;
+                self.names.insert(name.into(), self.next);
+                self.next
+            }
+        };
+        let part = if whole { bytes.len() } else { bytes.len() / 2 };
+        self.files.entry(number).or_default().1 = bytes[..part].to_vec();
+        if whole { Ok(()) } else { Err("no power".into()) }
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), String> {
+        let number = *self.names.get(name).ok_or("no such file")?;
+        let failing = self.fails == Some(self.done + 1);
+        let whole = self.step();
+        let part = if whole == Ok(true) { bytes.len() } else { bytes.len() / 2 };
+        if whole.is_ok() || failing {
+            self.files.entry(number).or_default().1.extend_from_slice(&bytes[..part]);
+        }
+        if whole? { Ok(()) } else { Err("no power".into()) }
+    }
+
+    fn sync(&mut self, name: &str) -> Result<(), String> {
+        if !self.step()? {
+            return Err("no power".into());
+        }
+        let number = *self.names.get(name).ok_or("no such file")?;
+        let file = self.files.entry(number).or_default();
+        file.0 = file.1.clone();
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> Result<(), String> {
+        if !self.step()? {
+            return Err("no power".into());
+        }
+        let number = self.names.remove(from).ok_or("no such file")?;
+        self.names.insert(to.into(), number);
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> Result<(), String> {
+        if !self.step()? {
+            return Err("no power".into());
+        }
+        self.synced = self.names.clone();
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> Result<(), String> {
+        if !self.step()? {
+            return Err("no power".into());
+        }
+        self.names.remove(name).map(|_| ()).ok_or("no such file".into())
+    }
+}
+
+fn key(key: u64) -> KeyMemory {
+    KeyMemory { key, reached: Reached::Sent(Some(key % 3)), sent: NOW + key }
+}
+
+fn memory(keys: &[KeyMemory]) -> Memory {
+    let engine = |n| EngineMemory { id: format!("s-{n}"), started: n, slowdown: Some(1.25), away_until: 0 };
+    Memory {
+        written: NOW,
+        serial: Some(7),
+        living: 4,
+        engines: (0..3).map(engine).collect(),
+        keys: keys.to_vec(),
+        ..Memory::default()
+    }
+}
+
+/// A life: records and keys in turn. Gives the keys that were promised.
+fn live(disk: &mut Disk, from: u64, rounds: u64) -> Vec<KeyMemory> {
+    let found = look(disk, OWNER, NOW);
+    let mut keeper = Keeper::new(disk, OWNER);
+    let (mut all, mut promised) = (found.memory.keys, Vec::new());
+    for round in 0..rounds {
+        if (keeper.wants_record() || round % 4 == 0) && keeper.save(disk, &memory(&all)).is_err() {
+            continue;
+        }
+        let one = key(from + round);
+        all.push(one);
+        if keeper.append(disk, &[one]).is_ok() {
+            promised.push(one);
+        }
+    }
+    promised
+}
+
+fn holds(disk: &Disk, promised: &[KeyMemory], written: u64, what: &str) {
+    let found = look(disk, OWNER, NOW);
+    let missing: Vec<_> = promised.iter().filter(|p| !found.memory.keys.contains(p)).collect();
+    assert!(missing.is_empty(), "{what}: {missing:?} of {promised:?}, found {found:?}");
+    assert!(found.memory.keys.iter().all(|k| k.key < written), "{what}: never written");
+    let whole = found.memory.engines.len() == 3 || found.generation.is_none();
+    assert!(whole, "{what}: {found:?}");
+}
+
+#[test]
+fn power_lost_at_any_point_of_any_of_three_lives_loses_nothing_that_was_promised() {
+    const ROUNDS: u64 = 6;
+    let points = {
+        let mut disk = Disk::default();
+        live(&mut disk, 0, ROUNDS);
+        disk.done
+    };
+    let (mut enumerated, fates) = (0, [Fate::Lost, Fate::Half, Fate::There]);
+    for first in 1..=points + 1 {
+        for fate in fates {
+            let mut disk = Disk { left: Cell::new(Some(first)), ..Disk::default() };
+            let promised = live(&mut disk, 0, ROUNDS);
+            let back = disk.back(fate);
+            holds(&back, &promised, ROUNDS, &format!("first life ends at {first}, {fate:?}"));
+            // The next one writes behind all that, and power goes again at any point.
+            for second in (1..=points + 1).step_by(2) {
+                let mut disk = back.clone();
+                disk.left.set(Some(second));
+                let mut all = promised.clone();
+                all.extend(live(&mut disk, 100, ROUNDS));
+                for fate in fates {
+                    let what = format!("lives end at {first} and {second}, {fate:?}");
+                    holds(&disk.back(fate), &all, 200, &what);
+                    enumerated += 1;
+                }
+            }
+        }
+    }
+    println!("{points} points of a life, {enumerated} ends of two lives: all sound");
+    assert!(enumerated > 2_000);
+}
+
+#[test]
+fn an_error_at_any_point_loses_nothing_and_does_not_last() {
+    let mut disk = Disk::default();
+    live(&mut disk, 0, 6);
+    for fails in 1..=disk.done {
+        let mut disk = Disk { fails: Some(fails), ..Disk::default() };
+        let promised = live(&mut disk, 0, 12);
+        assert!(promised.len() >= 10, "fails at {fails}: {}", promised.len());
+        for fate in [Fate::Lost, Fate::Half, Fate::There] {
+            holds(&disk.back(fate), &promised, 12, &format!("fails at {fails}, {fate:?}"));
+        }
+    }
+}
+
+#[test]
+fn of_a_bad_newest_the_one_before_is_taken_and_all_logs_from_there_on() {
+    let mut disk = Disk::default();
+    let promised = live(&mut disk, 0, 7);
+    let newest = disk.names.keys().filter(|n| n.starts_with("record-")).max().unwrap().clone();
+    let number = disk.names[&newest];
+    let length = disk.files[&number].1.len();
+    for at in 0..length {
+        let mut bad = disk.clone();
+        bad.files.get_mut(&number).unwrap().1[at] ^= 0x20;
+        let found = look(&bad, OWNER, NOW);
+        assert_eq!(found.unused.len(), 1, "flipped at {at}: {found:?}");
+        holds(&bad, &promised, 7, &format!("flipped at {at}"));
+        let mut bad = disk.clone();
+        bad.files.get_mut(&number).unwrap().1.truncate(at);
+        holds(&bad, &promised, 7, &format!("cut at {at}"));
+    }
+    // Nothing piles up.
+    assert!(disk.names.len() <= 5, "{:?}", disk.names);
+}
+
+#[test]
+fn what_is_not_ours_is_not_used_and_says_why() {
+    let bytes = record::write(OWNER, 4, &memory(&[key(1)]));
+    let read = |owner, now| record::read(&bytes).and_then(|r| record::ours(r, owner, now));
+    assert_eq!(read(OWNER, NOW).unwrap().memory, memory(&[key(1)]));
+    assert_eq!(read(Owner { host: 1, ..OWNER }, NOW), Err(Unsound::OtherHost));
+    assert_eq!(read(Owner { front: 1, ..OWNER }, NOW), Err(Unsound::OtherFront));
+    assert_eq!(read(Owner { settings: 1, ..OWNER }, NOW), Err(Unsound::OtherSettings));
+    assert_eq!(read(OWNER, NOW - 3_600_000), Err(Unsound::Future), "the clock has gone back");
+    let mut later = bytes.clone();
+    later[8] = 9;
+    assert_eq!(record::read(&later), Err(Unsound::Version(9)));
+    assert_eq!(record::read(b""), Err(Unsound::NoRecord));
+    // A length that makes no sense makes no room.
+    let mut hostile = bytes[..10].to_vec();
+    hostile.extend_from_slice(&[2, 0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0]);
+    assert_eq!(record::read(&hostile), Err(Unsound::Cut));
+    // A copy under a later name is not that later one.
+    let mut disk = Disk::default();
+    disk.write("record-9", &bytes).unwrap();
+    let found = look(&disk, OWNER, NOW);
+    assert_eq!((found.generation, found.unused.len()), (None, 1));
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_a_record_or_none(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
+        prop_assert!(record::read(&bytes).is_err());
+        let mut ours = record::write(OWNER, 1, &memory(&[key(2)]));
+        let at = bytes.first().copied().unwrap_or(0) as usize % ours.len();
+        ours.splice(at.., bytes.iter().copied());
+        if let Ok(record) = record::read(&ours) {
+            prop_assert_eq!(record.memory, memory(&[key(2)]));
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -503,6 +503,20 @@
         /// For how long, if nothing more is heard.
         lasts: Duration,
     },
+    /// Several other gateways know that an engine has started anew, of which the list has not told yet.
+    Started {
+        /// Which engine.
+        engine: EngineId,
+        /// When.
+        at: Time,
+    },
+    /// How many times as long as at ease a query takes at an engine, by what several other gateways see.
+    Looks {
+        /// Which engine.
+        engine: EngineId,
+        /// Times as long.
+        slowdown: f64,
+    },
     /// A client's request.
     Arrival(Arrival),
     /// Others were told of the group that this request's attempt goes to: it is bound to that as if it had run.
@@ -598,3 +612,14 @@
     /// A line for the operators' log.
     Log(String),
 }
+
+/// How an engine looks to one gateway; others may hear of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Look {
+    /// Which engine.
+    pub engine: EngineId,
+    /// How many times as long as at ease a query takes there; none where nothing was seen lately.
+    pub slowdown: Option<f64>,
+    /// Threads of this gateway's own queries there.
+    pub threads: f64,
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,14 +70,6 @@
 /// And this share is set aside on hearsay.
 const HEARSAY_SHARE: f64 = 0.2;
 
-/// Each period judges its own completions; rare classes gather theirs over a few.
-fn fade(evidence: &mut Evidence) {
-    evidence.slowdown.n *= 0.75;
-    evidence.busy.n *= 0.75;
-    evidence.slowdown_since_cut.n *= 0.25;
-    evidence.over_aim.iter_mut().for_each(|m| m.n *= if m.n < LEAST_SAMPLES { 0.75 } else { 0.25 });
-}
-
 // ---- State
 
 /// The decisions of one gateway.
@@ -172,6 +164,11 @@
             Event::Part(part) => self.part(*part),
             Event::Living(count) => self.share(self.sharers * count / f64::from(self.settings.gateways)),
             Event::Hearsay { engine, lasts } => self.hearsay(*engine, us(*lasts)),
+            Event::Started { engine, at } => _ = self.engines.get_mut(engine).map(|e| e.anew(*at, self.now)),
+            Event::Looks { engine, .. } if self.engines.get(engine).is_some_and(|e| e.looked(self.now)) => {}
+            Event::Looks { engine, slowdown: s } => {
+                self.look(*engine, s.max(1.0).clamp(1.0, CLIP * PRESSURE))
+            }
             Event::ListFailed => self.subscribe_at = asked.then_some(self.now + SECOND),
             Event::Arrival(arrival) => self.arrive(arrival, actions),
             Event::Bound(request) => self.bound(*request),
@@ -230,6 +227,12 @@
         self.engines.values().filter(|e| e.entry.state != EngineState::Gone).filter(away).count()
     }
 
+    /// How engines look to this gateway now.
+    pub fn views(&self) -> impl Iterator<Item = Look> {
+        let listed = self.engines.values().filter(|e| !e.gone);
+        listed.map(|e| e.view(e.looked(self.now).then(|| self.looks(e))))
+    }
+
     fn arrive(&mut self, arrival: &Arrival, actions: &mut Vec<Action>) {
         if arrival.class.0 >= self.classes.len() || self.requests.contains_key(&arrival.request) {
             return;
@@ -475,9 +478,9 @@
             engine.pressed = signs || engine.reached && engine.pressed;
             engine.reached = false;
             engine.failures.n *= 0.75;
-            fade(&mut engine.evidence);
+            engine.evidence.fade(LEAST_SAMPLES);
         }
-        ends.then(|| fade(&mut self.pool));
+        ends.then(|| self.pool.fade(LEAST_SAMPLES));
     }
 
     // ---- Routing
@@ -821,9 +824,7 @@
     fn bound(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
         let bound = request.out.as_ref().and_then(|out| self.bound_by(request, out));
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.may_have_run = request.may_have_run.or(bound);
-        }
+        self.requests.get_mut(&id).into_iter().for_each(|r| r.may_have_run = r.may_have_run.or(bound));
     }
 
     fn ended(&mut self, ended: &Ended, actions: &mut Vec<Action>) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+/// How long an own look at an engine stands against what others see, in microseconds.
+const LOOKED_FOR: i64 = 1_000_000;
+
 /// Where a held request stands in its class's line: target, number of its arrival, id.
 pub(crate) type HeldKey = (i64, u64, RequestId);
 
@@ -146,6 +149,14 @@
         self.slowdown_since_cut.add(slowdown, memory);
     }
 
+    /// Each period judges its own completions; classes with fewer than these gather theirs over a few.
+    pub(crate) fn fade(&mut self, least: f64) {
+        self.slowdown.n *= 0.75;
+        self.busy.n *= 0.75;
+        self.slowdown_since_cut.n *= 0.25;
+        self.over_aim.iter_mut().for_each(|m| m.n *= if m.n < least { 0.75 } else { 0.25 });
+    }
+
     /// A class's latency over its aim here, what is out and past it included.
     pub(crate) fn over_aim_now(&self, class: usize) -> Mean {
         let (done, out) = (self.over_aim[class], self.watch.over_aim.get(class).copied().unwrap_or_default());
@@ -197,6 +208,22 @@
         self.hearsay_until > now && now - self.served >= moment
     }
 
+    /// Others know of a later start of it. Its cold budget holds from then on; what was learned of the process before
+    /// is let go once the list says so.
+    pub(crate) fn anew(&mut self, at: Time, now: i64) {
+        self.cold_since = self.cold_since.max(Some((at.0.min(i64::MAX as u64 / 8) as i64).min(now)));
+    }
+
+    /// An own sign of how slow it is came a moment ago: who has looked knows better than who hears of it.
+    pub(crate) fn looked(&self, now: i64) -> bool {
+        self.seen.1 > 0 && now - self.seen.1 < LOOKED_FOR
+    }
+
+    /// What others may hear of it.
+    pub(crate) fn view(&self, slowdown: Option<f64>) -> Look {
+        Look { engine: self.entry.engine, slowdown, threads: self.threads }
+    }
+
     /// An attempt has ended there.
     pub(crate) fn lift(&mut self, request: RequestId, threads: f64) {
         self.count = self.count.saturating_sub(1);
--- a/standins/src/model.rs
+++ b/standins/src/model.rs
@@ -117,6 +117,11 @@
         Taken::Runs
     }
 
+    /// From now on it works so many times slower than usual.
+    pub fn slow(&mut self, times: f64) {
+        self.shape.slow = times;
+    }
+
     pub fn give_up(&mut self, id: u64) {
         self.running.remove(&id);
     }
--- a/standins/src/resp.rs
+++ b/standins/src/resp.rs
@@ -125,8 +125,13 @@
     Silent,
     /// It answers all with an error, at once.
     Failing,
+    /// It works eight times slower than usual.
+    Slow,
 }
 
+/// How much slower a slow one works.
+const SLOW: f64 = 8.0;
+
 enum Told {
     Began {
         id: u64,
@@ -260,6 +265,7 @@
 
 async fn run(name: String, shape: Shape, record: Record, mut tells: mpsc::UnboundedReceiver<Told>) {
     let start = Instant::now();
+    let usual = shape.slow;
     let mut model = Model::new(shape);
     type Query = (mpsc::UnboundedSender<Bytes>, Bytes, f64);
     let mut queries: HashMap<u64, Query> = HashMap::new();
@@ -326,7 +332,8 @@
                     record.see(&name, trace, What::Began { work: Duration::ZERO, key: None });
                     record.see(&name, trace, What::Ended);
                 }
-                Told::Mood(Mood::Well | Mood::Failing) => {}
+                Told::Mood(Mood::Slow) => model.slow(SLOW * usual),
+                Told::Mood(Mood::Well | Mood::Failing) => model.slow(usual),
                 Told::Mood(_) => {
                     queries.drain().for_each(|(id, query)| {
                         model.give_up(id);
--- a/tests/hearsay.rs
+++ b/tests/hearsay.rs
@@ -135,3 +135,49 @@
     assert!(told > 0);
     assert!(cold_with(Some(2.0)) <= told, "{} of {told}", cold_with(Some(2.0)));
 }
+
+#[test]
+fn a_start_that_only_others_know_of_brings_the_cold_budget() {
+    let went = |told: bool| {
+        let mut rig = Rig::new(Settings { gateways: 1000, ..settings() }, 5);
+        thin(&mut rig, 40);
+        let at = Time(rig.now - 500_000);
+        let start = told.then_some(Event::Started { engine: EngineId(3), at });
+        rig.step(&start.into_iter().collect::<Vec<_>>());
+        thin(&mut rig, 60).into_iter().filter(|e| *e == EngineId(3)).count()
+    };
+    let (warm, cold) = (went(false), went(true));
+    assert!(warm >= 10 && cold * 4 <= warm * 3, "{warm} {cold}");
+    // One of a time to come is as of now, and one of an engine that is not listed is nothing.
+    let mut rig = Rig::new(settings(), 2);
+    rig.step(&[Event::Started { engine: EngineId(9), at: Time(u64::MAX) }]);
+    rig.step(&[Event::Started { engine: EngineId(0), at: Time(u64::MAX) }]);
+    assert_eq!(rig.gateway.avoided(), 0);
+}
+
+#[test]
+fn what_looks_slow_to_others_is_taken_last_until_this_gateway_has_looked_itself() {
+    let went = |events: &[Event], wait: u64| {
+        let mut rig = Rig::new(settings(), 5);
+        thin(&mut rig, 20);
+        rig.pass(ms(wait));
+        rig.step(events);
+        thin(&mut rig, 10).into_iter().filter(|e| *e == EngineId(3)).count()
+    };
+    let slow = Event::Looks { engine: EngineId(3), slowdown: 8.0 };
+    assert!(went(&[], 1200) > 0, "as often as any");
+    assert_eq!(went(std::slice::from_ref(&slow), 1200), 0, "the others are free");
+    // Nothing that is heard makes an engine look better than at ease, or moves one that is not there.
+    let wrong = [f64::NAN, -1.0, 0.0].map(|slowdown| Event::Looks { engine: EngineId(3), slowdown });
+    assert!(went(&wrong, 1200) > 0);
+    assert!(went(&[Event::Looks { engine: EngineId(77), slowdown: 8.0 }], 1200) > 0);
+    let mut rig = Rig::new(settings(), 5);
+    rig.serve(0, 60, ms(20));
+    let views: Vec<_> = rig.gateway.views().collect();
+    assert!(views.len() == 5 && views.iter().any(|v| v.slowdown.is_some() && v.threads == 0.0), "{views:?}");
+    let id = rig.arrive(0);
+    let engine = rig.sent(id)[0];
+    assert!(rig.gateway.views().any(|v| v.engine == engine && v.threads == 1.0));
+    rig.pass(ms(1100));
+    assert!(rig.gateway.views().all(|v| v.slowdown.is_none()), "too long ago");
+}
