Keep a memory for the next process, and bind retries by it after a loss of power

A front end that loses its power comes back knowing nothing: a client's keyed retry goes to any cell, and an engine there does not know of the first try.

Change: state "FOLDER" in an operator's file (off without it, and in run): a thread writes records by generation and a log of keys; reedwalk-recovery decides what each is worth (trust table in code), binds a retry to its first try's group and turns an unknown one away until its window is over, and leads through stages (settling, listing, letting in, in service) with the evidence or the instant of each; HEALTH, DUMP (svc.state_*) and the log say where it stands. Class means and looks at engines come back as priors. reedwalk state show|verify|forget. The rig deals engines out to cells, its clients come back with their keys, and a checker counts keys that began in two cells. A start that is not understood ends its process.

Not yet: asking peers for keys, the 40-process test of the issue, its measurement.

--- a/fleet/src/load.rs
+++ b/fleet/src/load.rs
@@ -27,6 +27,9 @@
     pub work_ms: f64,
     pub spread: f64,
     pub patience_ms: u64,
+    /// Clients of keyed posts whose connection is lost, or who are turned away then, come back with the key until this
+    /// long after the first try.
+    pub returns: Option<Duration>,
     pub seed: u64,
 }
 
@@ -34,7 +37,7 @@
     /// So many lookups a second at each of so many front ends.
     pub fn lookups(fronts: usize, rate: f64, work_ms: f64, seed: u64) -> Self {
         let (rates, shares) = (vec![rate; fronts], [1.0, 0.0, 0.0]);
-        Self { rates, shares, work_ms, spread: 0.5, patience_ms: 4_000, seed }
+        Self { rates, shares, work_ms, spread: 0.5, patience_ms: 4_000, returns: None, seed }
     }
 }
 
@@ -45,6 +48,8 @@
     pub front: usize,
     pub trace: String,
     pub key: Option<String>,
+    /// Tries, the first included.
+    pub tries: usize,
     pub end: End,
     pub took: Duration,
 }
@@ -89,7 +94,7 @@
     /// Ends it, and waits until the last request has its end.
     pub fn end(&self) -> Vec<Asked> {
         self.on.send_replace(false);
-        let by = Instant::now() + Duration::from_secs(15);
+        let by = Instant::now() + Duration::from_secs(30);
         while self.open.load(Ordering::Acquire) > 0 {
             assert!(Instant::now() < by, "requests that never end");
             std::thread::sleep(Duration::from_millis(5));
@@ -128,41 +133,73 @@
             left < 0.0
         });
         let (class, work, number) = (class.unwrap_or(0), work.sample(&mut rng), rng.random::<u64>());
+        let drawn = Drawn { class, work, number };
         tokio::select! {
             () = tokio::time::sleep_until(next) => {}
             _ = on.wait_for(|on| !*on) => return,
         }
         let Some(address) = playing.addresses.lock().unwrap()[front] else { continue };
-        let (sessions, playing, patience) = (sessions.clone(), playing.clone(), load.patience_ms);
+        let (sessions, playing, load) = (sessions.clone(), playing.clone(), load.clone());
         playing.open.fetch_add(1, Ordering::AcqRel);
         tokio::spawn(async move {
-            let asked = one(address, front, class, work, number, patience, sessions).await;
+            let asked = one(&load, &drawn, address, front, &playing, &sessions).await;
             playing.seen.lock().unwrap().push(asked);
             playing.open.fetch_sub(1, Ordering::AcqRel);
         });
     }
 }
 
-async fn one(
-    address: SocketAddr,
-    front: usize,
+/// One request, as drawn.
+struct Drawn {
     class: usize,
     work: f64,
     number: u64,
-    patience: u64,
-    sessions: Sessions,
+}
+
+/// Clients that come back do so every so often.
+const BACK_EVERY: Duration = Duration::from_millis(150);
+
+/// A request, and with it all tries of its client.
+async fn one(
+    load: &Load,
+    drawn: &Drawn,
+    address: SocketAddr,
+    front: usize,
+    playing: &Playing,
+    sessions: &Sessions,
 ) -> Asked {
+    let Drawn { class, work, number } = *drawn;
     let (route, threads) = CLASSES[class];
-    let trace = format!("{number:016x}");
     let key = (route == "batch-post").then(|| format!("{number:032x}"));
     let nonce = key.as_ref().map_or(String::new(), |k| format!(",nonce={k}"));
-    let text = format!(
-        "/* route={route},trace={trace},patience={patience}{nonce},weight={work:.1},space=16 */ \
-         SELECT a, b, c FROM sales_{}.orders WHERE WORK {work:.3} THREADS {threads} ",
-        number % 64,
-    );
-    let query = packet(0, &[&[3], text.as_bytes()].concat());
-    let (at, until) = (Instant::now(), tokio::time::Instant::now() + Duration::from_millis(patience + 500));
+    let (at, mut tries, mut address) = (Instant::now(), 0, Some(address));
+    let (until, patience) = (load.returns.filter(|_| key.is_some()).map(|r| at + r), load.patience_ms);
+    loop {
+        tries += 1;
+        // Each try has an id of its own.
+        let trace = format!("{:016x}", number.wrapping_add(tries as u64 - 1));
+        let redo = if tries > 1 { ",redo=1" } else { "" };
+        let text = format!(
+            "/* route={route},trace={trace},patience={patience}{nonce}{redo},weight={work:.1},space=16 */ \
+             SELECT a, b, c FROM sales_{}.orders WHERE WORK {work:.3} THREADS {threads} ",
+            number % 64,
+        );
+        let query = packet(0, &[&[3], text.as_bytes()].concat());
+        let end = match address {
+            Some(address) => ask(address, &query, patience, sessions).await,
+            None => End::Lost,
+        };
+        let again = end == End::Lost || tries > 1 && end != End::Served;
+        if !again || until.is_none_or(|u| Instant::now() >= u) {
+            return Asked { at, front, trace, key, tries, end, took: at.elapsed() };
+        }
+        tokio::time::sleep(BACK_EVERY).await;
+        address = playing.addresses.lock().unwrap()[front];
+    }
+}
+
+async fn ask(address: SocketAddr, query: &[u8], patience: u64, sessions: &Sessions) -> End {
+    let until = tokio::time::Instant::now() + Duration::from_millis(patience + 500);
     let kept = {
         let mut lines = sessions.kept.lock().unwrap();
         lines.retain(|l| {
@@ -177,10 +214,10 @@
             Some((_, line)) => line,
             None => Line::open(address).await?,
         };
-        let end = line.ask(&query).await?;
+        let end = line.ask(query).await?;
         Some((line, end))
     };
-    let end = match timeout_at(until, ask).await.ok().flatten() {
+    match timeout_at(until, ask).await.ok().flatten() {
         Some((line, end)) => {
             let mut lines = sessions.kept.lock().unwrap();
             if lines.len() < KEPT {
@@ -189,6 +226,5 @@
             end
         }
         None => End::Lost,
-    };
-    Asked { at, front, trace, key, end, took: at.elapsed() }
+    }
 }
--- a/fleet/src/process.rs
+++ b/fleet/src/process.rs
@@ -30,8 +30,10 @@
     pub names: Option<SocketAddr>,
     /// One address a front end, for its peers; empty where it is to know of none.
     pub peers: Vec<SocketAddr>,
-    /// The operator's file, if any.
+    /// The operator's file, if any; `@state@` in it is the folder of this front end's memory.
     pub operator: Option<String>,
+    /// Engines drop repeats of a key within their cell only.
+    pub cells: bool,
     pub seed: u64,
 }
 
@@ -81,6 +83,11 @@
         self.program.folder.join(format!("n{}.{kind}", self.told.number))
     }
 
+    /// The folder of its memory, where it keeps one.
+    pub fn state(&self) -> PathBuf {
+        self.program.folder.join(format!("state-{}", self.told.number))
+    }
+
     fn write(&self, path: &Path, text: &str) {
         std::fs::write(path, text).unwrap();
     }
@@ -91,6 +98,10 @@
         let mut settings = settings();
         settings["Balancers"] = json!(self.told.count);
         settings["Ordinal"] = json!(self.told.number);
+        if self.told.cells {
+            let classes = settings["RequestClasses"].as_array_mut().expect("classes");
+            classes.iter_mut().for_each(|c| c["DedupScope"] = json!("cell"));
+        }
         let config = json!({"name": format!("n{}", self.told.number), "listen": self.address,
             "seed": format!("{:x}", self.told.seed), "names": self.told.names, "known": self.told.known,
             "console": "127.0.0.1:0", "peer_listen": "127.0.0.1:0", "peers": self.told.peers, "settings": settings,
@@ -99,7 +110,8 @@
         let mut command = Command::new(&self.program.path);
         command.arg("serve").arg("--config").arg(self.file("json"));
         if let Some(operator) = &self.told.operator {
-            self.write(&self.file("kdl"), operator);
+            let state = self.state().display().to_string();
+            self.write(&self.file("kdl"), &operator.replace("@state@", &state));
             command.arg("--operator").arg(self.file("kdl"));
         }
         command
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -4,6 +4,7 @@
 //! final answer and never a second.
 
 mod desk;
+pub mod kept;
 mod keys;
 mod message;
 mod roll;
@@ -16,6 +17,7 @@
 use crate::figures::Figures;
 use crate::store::link::Link;
 use bytes::Bytes;
+use kept::{Entry, Kept};
 use keys::Keys;
 use reedwalk_core::{
     Action, Arrival, AttemptNo, Ended, EngineId, EngineState, Event, Gateway, GroupId, ListScope, Outcome,
@@ -100,6 +102,15 @@
     pub others: Option<Others>,
 }
 
+/// What a broker has beside the module and the links.
+#[derive(Default)]
+pub struct Beside {
+    /// Contracts of teams, if there are any.
+    pub contracts: Option<Arc<Contracts>>,
+    /// The memory that is kept for the next process, if one is.
+    pub keeping: Option<kept::Keeping>,
+}
+
 /// The one owner of the decision module.
 pub struct Broker<L> {
     shared: Shared,
@@ -109,6 +120,7 @@
     contracts: Option<Arc<Contracts>>,
     queue: mpsc::Sender<Input>,
     keys: Option<Keys>,
+    kept: Option<Kept>,
     log: Logger,
     open: HashMap<RequestId, Open>,
     /// Ids of what is open: an engine would take a second request of that id for the first.
@@ -134,7 +146,7 @@
         gateway: Gateway,
         links: L,
         deployment: &Deployment,
-        contracts: Option<Arc<Contracts>>,
+        beside: Beside,
         shared: Shared,
         queue: mpsc::Sender<Input>,
         log: Logger,
@@ -142,7 +154,10 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let now = Instant::now();
         let keys = shared.keys.clone().map(|link| Keys::new(link, deployment, queue.clone()));
+        let Beside { contracts, keeping } = beside;
+        let kept = keeping.map(|k| Kept::new(k, deployment, shared.figures.clone(), log.clone()));
         Self {
+            kept,
             gateway,
             links,
             keys,
@@ -188,6 +203,8 @@
             }
             self.expire(now);
             self.step(now);
+            let heard = self.shared.roll.heard();
+            self.kept.iter_mut().for_each(|k| k.act(&self.gateway, heard, now));
         }
     }
 
@@ -204,6 +221,7 @@
             entries.push(one.entry);
         }
         self.keys.iter_mut().for_each(|k| k.engines(&entries));
+        self.kept.iter_mut().for_each(|k| k.engines(&entries));
         self.pending.push(Event::Engines { scope: ListScope::Changes, entries });
     }
 
@@ -311,7 +329,14 @@
     /// A request that may go on, as far as its team is concerned: what does the shared store know of its key?
     fn look_up(&mut self, id: RequestId, now: Instant) {
         let Some(ask) = self.open.get(&id).filter(|o| o.reply.is_some()).map(|o| &o.ask) else { return };
-        let step = self.keys.as_mut().map_or(Step::Go(None), |k| k.arrive(id, ask, now));
+        let mut earlier = None;
+        match self.kept.as_mut().map(|k| k.arrive(ask, now)) {
+            Some(Entry::Later(after)) => return self.go(id, Step::Refuse(after), now),
+            Some(Entry::Go(Some((group, ago)))) => earlier = Some(Earlier { group, ago }),
+            Some(Entry::Go(None)) | None => {}
+        }
+        // A store knows what all front ends have sent, and goes before what this one remembers.
+        let step = self.keys.as_mut().map_or(Step::Go(earlier), |k| k.arrive(id, ask, now));
         self.go(id, step, now);
     }
 
@@ -568,6 +593,7 @@
         if open.reply.is_none() || open.ask.deadline <= now || number.0 >= self.max_attempts {
             return Err(number);
         }
+        self.kept.iter_mut().for_each(|k| k.send(&open.ask, engine, now));
         let key = AttemptKey(self.next_key);
         self.next_key += 1;
         let deadline = until.map_or(open.ask.deadline, |u| u.min(open.ask.deadline));
--- a/gateway/src/broker/roll.rs
+++ b/gateway/src/broker/roll.rs
@@ -5,6 +5,7 @@
 use crate::engine::Gate;
 use reedwalk_core::EngineId;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::Notify;
 
@@ -12,6 +13,7 @@
 struct Inner {
     changes: Mutex<BTreeMap<EngineId, (Listed, Gate)>>,
     written: Notify,
+    heard: AtomicBool,
 }
 
 /// Changes of the list that the broker has not read yet; cheap to clone.
@@ -34,6 +36,18 @@
             .collect()
     }
 
+    /// The name server has answered in this process's life.
+    pub fn hear(&self) {
+        if !self.0.heard.swap(true, Ordering::AcqRel) {
+            self.0.written.notify_one();
+        }
+    }
+
+    /// Has it?
+    pub fn heard(&self) -> bool {
+        self.0.heard.load(Ordering::Acquire)
+    }
+
     /// Returns once something has been written.
     pub async fn changed(&self) {
         self.0.written.notified().await;
--- a/gateway/src/cli.rs
+++ b/gateway/src/cli.rs
@@ -5,6 +5,7 @@
 use crate::operator::{Operator, Store};
 use crate::peers;
 use crate::serve;
+use crate::state;
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
@@ -24,6 +25,8 @@
   call ADDRESS LINE...
                  take a call to the console of a front end, such as HEALTH or OFFLINE ID, and print the answer;
                  ends with 1 where it is no
+  state show|verify|forget FOLDER
+                 what a front end has kept there for its next start; verify ends with 1 where that is not sound
   version        say the version
 
 options of serve and check-config:
@@ -110,6 +113,10 @@
                 }
                 Some(_) => println!("peers: off, the settings allow no messages between front ends"),
             }
+            match &operator.state {
+                Some(terms) => println!("state: kept in {}", terms.folder.display()),
+                None => println!("state: off"),
+            }
             match operator.flight {
                 Some(flight) => {
                     println!("flight: listens on {}, engines {:?}", flight.listen, operator.engines)
@@ -129,6 +136,20 @@
             print!("{answer}");
             if answer.starts_with(console::NO) { Err("the answer is no".into()) } else { Ok(()) }
         }
+        Some("state") => {
+            let words: Vec<_> = args.finish();
+            let [what, folder] = &words[..] else {
+                return Err("state: expected show, verify or forget, and a folder".into());
+            };
+            let done = match what.to_str() {
+                Some("show") => state::show(Path::new(folder), false),
+                Some("verify") => state::show(Path::new(folder), true),
+                Some("forget") => state::forget(Path::new(folder)),
+                _ => Err("state: expected show, verify or forget, and a folder".into()),
+            };
+            print!("{}", done?);
+            Ok(())
+        }
         Some("serve") => {
             let options = options(&mut args)?;
             finish(args)?;
--- a/gateway/src/console/mod.rs
+++ b/gateway/src/console/mod.rs
@@ -48,18 +48,23 @@
     if answer.is_empty() { Err(std::io::ErrorKind::UnexpectedEof.into()) } else { Ok(answer) }
 }
 
-/// Whether this process takes clients.
+/// Whether this process takes clients: it is open, and nothing holds it back on its way into service.
 #[derive(Clone, Debug, Default)]
-pub struct Health(Arc<AtomicBool>);
+pub struct Health(Arc<(AtomicBool, AtomicBool)>);
 
 impl Health {
     /// Says so from now on, or not any more.
     pub fn set(&self, serving: bool) {
-        self.0.store(serving, Ordering::Release);
+        self.0.0.store(serving, Ordering::Release);
+    }
+
+    /// It turns everybody away still, or not any more.
+    pub fn hold(&self, held: bool) {
+        self.0.1.store(held, Ordering::Release);
     }
 
     fn serving(&self) -> bool {
-        self.0.load(Ordering::Acquire)
+        self.0.0.load(Ordering::Acquire) && !self.0.1.load(Ordering::Acquire)
     }
 }
 
--- a/gateway/src/figures.rs
+++ b/gateway/src/figures.rs
@@ -38,6 +38,9 @@
     failed: AtomicU64,
 }
 
+/// Names, values, and whether each is a count or what stands now.
+pub type Lines = Vec<(&'static str, u64, char)>;
+
 /// All figures.
 #[derive(Debug, Default)]
 pub struct Figures {
@@ -48,7 +51,9 @@
     members: AtomicU64,
     unavailable: AtomicU64,
     /// What is told of other front ends; nothing where this one knows of none.
-    peers: Mutex<Vec<(&'static str, u64, char)>>,
+    peers: Mutex<Lines>,
+    /// What is told of a kept memory, and of the way back into service; nothing where none is kept.
+    state: Mutex<[Lines; 2]>,
 }
 
 /// A request that was taken. Its end is counted once; dropped without one, its client has left.
@@ -113,10 +118,20 @@
     }
 
     /// What other front ends have to do with this one: names, values, and whether each is a count or what stands now.
-    pub fn set_peers(&self, figures: Vec<(&'static str, u64, char)>) {
+    pub fn set_peers(&self, figures: Lines) {
         *self.peers.lock().unwrap_or_else(PoisonError::into_inner) = figures;
     }
 
+    /// What was written of the memory that is kept.
+    pub fn set_state(&self, figures: Lines) {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)[0] = figures;
+    }
+
+    /// How far this front end is on its way back into service.
+    pub fn set_return(&self, figures: Lines) {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)[1] = figures;
+    }
+
     /// Requests taken but not yet ended.
     pub fn pending(&self) -> u64 {
         // The ended first: what ends in between would make it too low, down to below nothing.
@@ -147,6 +162,10 @@
         for (what, value, kind) in self.peers.lock().unwrap_or_else(PoisonError::into_inner).iter() {
             let _ = writeln!(text, "svc.peers_{what}:{value}|{kind}");
         }
+        for (what, value, kind) in self.state.lock().unwrap_or_else(PoisonError::into_inner).iter().flatten()
+        {
+            let _ = writeln!(text, "svc.state_{what}:{value}|{kind}");
+        }
         text
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod peers;
 pub mod serve;
 pub mod shutdown;
+pub mod state;
 pub mod store;
 pub mod succession;
--- a/gateway/src/members/mod.rs
+++ b/gateway/src/members/mod.rs
@@ -138,7 +138,9 @@
     pub fn take(&self, answer: dns::Answer) -> usize {
         let mut inner = self.inner();
         let changes = inner.book.take(answer);
-        self.tell(&mut inner, changes)
+        let changed = self.tell(&mut inner, changes);
+        self.roll.hear();
+        changed
     }
 
     /// Closes and opens gates here and now; the broker reads of it when it comes to it.
--- a/gateway/src/operator/mod.rs
+++ b/gateway/src/operator/mod.rs
@@ -11,6 +11,7 @@
 use crate::contracts::Contract;
 use crate::cores::DESCRIPTORS_A_CORE;
 use crate::peers::Terms as PeersTerms;
+use crate::state::Terms as StateTerms;
 use crate::store::link::Terms;
 use std::net::SocketAddr;
 
@@ -67,6 +68,8 @@
     pub store: Store,
     /// How front ends know each other; they don't without it.
     pub peers: Option<PeersTerms>,
+    /// Where a memory is kept for the next process; none is without it.
+    pub state: Option<StateTerms>,
 }
 
 impl Operator {
--- a/gateway/src/operator/read.rs
+++ b/gateway/src/operator/read.rs
@@ -3,6 +3,7 @@
 use super::{EngineWire, FLIGHT_CONNECTIONS, FLIGHT_MESSAGE, FlightFront, Operator, Store, units};
 use crate::contracts::Contract;
 use crate::peers::{BYTES_MOST, Terms as PeersTerms};
+use crate::state::Terms as StateTerms;
 use crate::store::link::Terms;
 use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
 use reedwalk_cores::CORES_MOST;
@@ -299,7 +300,7 @@
         lines.fault(first.map_or(0, |d| d.span.offset()), what)
     })?;
     let mut operator = Operator::default();
-    let known = ["cores", "flight", "engines", "contract", "store", "peers"];
+    let known = ["cores", "flight", "engines", "contract", "store", "peers", "state"];
     for node in lines.nodes(&document, &known, &["contract"])? {
         match node.name().value() {
             "cores" => {
@@ -319,6 +320,15 @@
                 };
             }
             "peers" => operator.peers = Some(lines.peers(node)?),
+            "state" => {
+                let folder = lines.text(node, "the name of a folder")?;
+                if !folder.starts_with('/') {
+                    let what = format!("'state' is \"{folder}\"; expected a whole path, from \"/\" on");
+                    return Err(lines.at(node, what));
+                }
+                let line = lines.at(node, "").line;
+                operator.state = Some(StateTerms { folder: folder.into(), line });
+            }
             "contract" => operator.contracts.get_or_insert_default().push(lines.contract(node)?),
             _ => operator.store = lines.store(node)?,
         }
@@ -371,6 +381,8 @@
             ("store redis=\"redis://h\" {\n wait \"0ms\"\n}", 2, "from 1ms to 1s"),
             ("store redis=\"redis://h\" {\n namespace \"a b\"\n}", 2, "1 to 64 letters"),
             ("store \"memory\" {\n share-keys\n}", 1, "redis="),
+            ("cores 1\nstate \"here\"", 2, "a whole path"),
+            ("state", 1, "the name of a folder"),
             ("peers 3", 1, "a block in braces"),
             ("peers {\n gossip\n}", 2, "unknown setting 'gossip'; expected listen, member, key"),
             ("peers {\n listen \"here\"\n}", 2, "'listen' is \"here\"; expected an address"),
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -1,6 +1,7 @@
 //! Puts the parts together and runs them.
 
-use crate::broker::{Broker, Desk, EngineLinks, Others, QUEUE, Roll, Shared};
+use crate::broker::kept::Keeping;
+use crate::broker::{Beside, Broker, Desk, EngineLinks, Others, QUEUE, Roll, Shared};
 use crate::config::{Config, ConfigError, Limits};
 use crate::console::{Console, Health};
 use crate::contracts::{BadContract, Contracts};
@@ -16,6 +17,7 @@
 use crate::operator::{EngineWire, Fault, Operator, Store};
 use crate::peers;
 use crate::shutdown::{Asked, OVERLAP, Phase, Signals};
+use crate::state;
 use crate::store::link::Link;
 use crate::succession::{MAKES_ROOM, Succession};
 use reedwalk_core::{Effect, Gateway};
@@ -153,8 +155,10 @@
     if operator.peers.is_some() && tier.is_none() {
         warn!(log, "the settings allow no messages between front ends: peers are off");
     }
+    let asks = config.names.is_some();
     let (source, sources) = watch::channel(Source { server: config.names, known: None });
     let fixed = Arc::new((config.listen, config.console, config.limits, Arc::new(config.deployment.clone())));
+    let owner = operator.state.as_ref().map(|_| state::owner(&config));
     let reloads = Reloads { source, fixed, log: log.new(o!("part" => "reload")) };
     let mut deployment = config.deployment;
     if operator.engines == EngineWire::FlightSql {
@@ -163,7 +167,7 @@
     }
     let deployment = Arc::new(deployment);
     let sockets = Arc::new(deployment.sockets.clone());
-    let gateway = Gateway::new(deployment.core.clone(), config.seed).map_err(ServeError::Settings)?;
+    let mut gateway = Gateway::new(deployment.core.clone(), config.seed).map_err(ServeError::Settings)?;
     let (queue, inputs) = mpsc::channel(QUEUE);
     let cores = Cores::start(operator.cores).map_err(|e| ServeError::Io("cores", e))?;
     // Only a front end that operators can reach has a second process beside it, or words to keep.
@@ -213,6 +217,28 @@
         tokio::spawn(peers::Task::new(tier, around, log.new(o!("part" => "peers"))).run());
     }
     let health = Health::default();
+    let keeping = match operator.state.as_ref().zip(owner) {
+        Some((terms, owner)) => {
+            let state_log = log.new(o!("part" => "state"));
+            let fault = |what: String| ServeError::Operator(Fault { line: terms.line, what });
+            let folder = state::folder::Folder::open(&terms.folder)
+                .map_err(|e| fault(format!("'state': {}: {e}", terms.folder.display())))?;
+            let memory = state::find(&folder, owner, &state_log).memory;
+            let now = state::unix_ms();
+            gateway.recall(&state::paces(&memory, &sockets.classes, now));
+            for input in state::engines(&memory, &members, now) {
+                // It is told after the list, and before anything that comes from outside.
+                let _ = queue.try_send(input);
+            }
+            let (notes, written) = mpsc::channel(state::LINE);
+            let (members, figures, log) = (members.clone(), figures.clone(), state_log);
+            let classes = sockets.classes.clone();
+            let writer = state::Writer { folder, owner, classes, members, figures, log };
+            writer.start(written).map_err(|e| ServeError::Io("state", e))?;
+            Some(Keeping { notes, keys: memory.keys, names: asks, health: health.clone() })
+        }
+        None => None,
+    };
     let console = match config.console {
         Some(address) => {
             let (listener, address) = listen(address, false)?;
@@ -244,8 +270,8 @@
     let broker_log = log.new(o!("part" => "broker"));
     let contracts = contracts(&operator, &deployment, link)?.map(Arc::new);
     contracts.iter().cloned().for_each(|c| _ = tokio::spawn(c.run()));
-    let broker =
-        Broker::new(gateway, links, &deployment, contracts.clone(), shared, queue.clone(), broker_log);
+    let beside = Beside { contracts: contracts.clone(), keeping };
+    let broker = Broker::new(gateway, links, &deployment, beside, shared, queue.clone(), broker_log);
     let judge = cores.judge(broker.run(inputs));
     let (judging, unjudged) = watch::channel(false);
     let judge_log = log.clone();
--- /dev/null
+++ b/gateway/src/state/folder.rs
@@ -0,0 +1,86 @@
+//! A folder on the disk, for `reedwalk-recovery`, and the lock that keeps a second process out of it.
+
+use reedwalk_recovery::keep::Files;
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io::{Error, Read, Write};
+use std::os::unix::fs::{DirBuilderExt, OpenOptionsExt};
+use std::path::{Path, PathBuf};
+
+/// Files looked at in a folder at most; ours are five.
+const FILES_MOST: usize = 256;
+
+/// A folder that is there.
+#[derive(Clone, Debug)]
+pub struct Folder(PathBuf);
+
+/// Held by whoever writes, until it is dropped; the kernel lets it go with its process, however that ends.
+#[derive(Debug)]
+pub struct Locked(#[expect(dead_code, reason = "its drop lets go of the lock")] File);
+
+impl Folder {
+    /// This folder, made where it is missing. Nobody else may read what is in it.
+    ///
+    /// # Errors
+    /// Where it can't be had.
+    pub fn open(path: &Path) -> Result<Self, Error> {
+        std::fs::DirBuilder::new().recursive(true).mode(0o700).create(path)?;
+        std::fs::read_dir(path)?;
+        Ok(Self(path.to_owned()))
+    }
+
+    /// The lock, where no other process has it.
+    ///
+    /// # Errors
+    /// Where it can't be made.
+    pub fn lock(&self) -> Result<Option<Locked>, Error> {
+        let file = OpenOptions::new().create(true).truncate(false).write(true).open(self.0.join("lock"))?;
+        match file.try_lock() {
+            Ok(()) => Ok(Some(Locked(file))),
+            Err(TryLockError::WouldBlock) => Ok(None),
+            Err(TryLockError::Error(error)) => Err(error),
+        }
+    }
+
+    fn put(&self, name: &str, bytes: &[u8], options: &mut OpenOptions) -> Result<(), Error> {
+        options.mode(0o600).open(self.0.join(name))?.write_all(bytes)
+    }
+}
+
+impl Files for Folder {
+    type Error = Error;
+
+    fn names(&self) -> Result<Vec<String>, Error> {
+        let names = std::fs::read_dir(&self.0)?.take(FILES_MOST);
+        names.map(|entry| Ok(entry?.file_name().to_string_lossy().into_owned())).collect()
+    }
+
+    fn read(&self, name: &str, most: usize) -> Result<Vec<u8>, Error> {
+        let mut bytes = Vec::new();
+        File::open(self.0.join(name))?.take(most as u64 + 1).read_to_end(&mut bytes)?;
+        Ok(bytes)
+    }
+
+    fn write(&mut self, name: &str, bytes: &[u8]) -> Result<(), Error> {
+        self.put(name, bytes, OpenOptions::new().create(true).truncate(true).write(true))
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<(), Error> {
+        self.put(name, bytes, OpenOptions::new().append(true))
+    }
+
+    fn sync(&mut self, name: &str) -> Result<(), Error> {
+        File::open(self.0.join(name))?.sync_data()
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> Result<(), Error> {
+        std::fs::rename(self.0.join(from), self.0.join(to))
+    }
+
+    fn sync_folder(&mut self) -> Result<(), Error> {
+        File::open(&self.0)?.sync_all()
+    }
+
+    fn remove(&mut self, name: &str) -> Result<(), Error> {
+        std::fs::remove_file(self.0.join(name))
+    }
+}
--- /dev/null
+++ b/gateway/src/state/mod.rs
@@ -0,0 +1,321 @@
+//! What a front end keeps for the process after it, in the folder that an operator's file names. A thread of its own
+//! writes, so that neither a slow disk nor a full one is waited for by anybody; what finds no room in its line is
+//! not kept, which costs a retry some time and never an effect. What is worth what is decided in `reedwalk-recovery`.
+
+pub mod folder;
+
+use crate::broker::Input;
+use crate::config::Config;
+use crate::figures::Figures;
+use crate::members::Members;
+use folder::Folder;
+use reedwalk_core::{ClassPace, Effect, Look};
+use reedwalk_recovery::Millis;
+use reedwalk_recovery::keep::{Found, Keeper, look};
+use reedwalk_recovery::memory::{ClassMemory, EngineMemory, KeyMemory, Memory};
+use reedwalk_recovery::record::Owner;
+use reedwalk_recovery::trust::{Against, Fact, Source, Use, worth};
+use slog::{Logger, error, info, warn};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// Notes that wait to be written at most.
+pub const LINE: usize = 1024;
+/// How often another process's lock is tried again.
+const LOCK_EVERY: Duration = Duration::from_millis(100);
+
+/// What an operator's file says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// The folder.
+    pub folder: PathBuf,
+    /// The line that names it.
+    pub line: usize,
+}
+
+/// What is to be kept.
+#[derive(Clone, Debug)]
+pub enum Note {
+    /// A keyed request is being sent.
+    Key(KeyMemory),
+    /// What has been learned, and all keys inside their windows.
+    All(Vec<ClassPace>, Vec<Look>, Vec<KeyMemory>),
+}
+
+/// Milliseconds of the Unix clock.
+pub fn unix_ms() -> Millis {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as Millis
+}
+
+fn number(words: impl IntoIterator<Item = impl AsRef<[u8]>>) -> u64 {
+    // A zero between words, so that no two lists of them are one.
+    let bytes: Vec<_> = words.into_iter().flat_map(|w| [w.as_ref(), &[0]].concat()).collect();
+    reedwalk_settings::key(&bytes).0
+}
+
+/// Whose memory this front end's is.
+pub fn owner(config: &Config) -> Owner {
+    let files = ["/etc/machine-id", "/proc/sys/kernel/hostname"];
+    let host = files.map(|f| std::fs::read(f).unwrap_or_default());
+    // Of the settings only what a memory rests on: an upgrade that brings more of them takes nothing away.
+    let classes = config.deployment.sockets.classes.iter().zip(&config.deployment.core.classes);
+    let classes = classes.map(|(name, class)| match class.effect {
+        Effect::Keyed { scope, memory } => format!("{name} {scope:?} {memory:?}"),
+        _ => name.clone(),
+    });
+    Owner { host: number(host), front: number([config.name.as_bytes()]), settings: number(classes) }
+}
+
+/// Looks through a folder for what the process before had kept, and says what was found.
+pub fn find(folder: &Folder, owner: Owner, log: &Logger) -> Found {
+    let found = look(folder, owner, unix_ms());
+    for (file, why) in &found.unused {
+        warn!(log, "not used"; "file" => file, "why" => why);
+    }
+    let memory = &found.memory;
+    info!(log, "memory"; "generation" => ?found.generation, "engines" => memory.engines.len(),
+        "classes" => memory.classes.len(), "keys" => memory.keys.len(), "torn bytes" => found.torn,
+        "written ms ago" => unix_ms().saturating_sub(memory.written));
+    found
+}
+
+/// What a front end tells of its classes from before.
+pub fn paces(memory: &Memory, names: &[String], now: Millis) -> Vec<Option<ClassPace>> {
+    let against = Against { clock: memory.written > now, ..Against::default() };
+    let prior = worth(Fact::Pace, Source::Disk, now.saturating_sub(memory.written), 0, against);
+    let pace = |name: &String| {
+        let Use::Prior(weight) = prior else { return None };
+        let class = memory.classes.iter().find(|c| c.name == *name)?;
+        let faded = |(value, count): (f64, f64)| (value, count * weight);
+        Some(ClassPace { exec: faded(class.exec), width: faded(class.width) })
+    };
+    names.iter().map(pace).collect()
+}
+
+/// What the broker is told of engines from before, as far as they are the same ones.
+pub fn engines(memory: &Memory, members: &Members, now: Millis) -> Vec<Input> {
+    let (age, mut told) = (now.saturating_sub(memory.written), Vec::new());
+    members.each(|name, engine, started| {
+        let Some(kept) = memory.engines.iter().find(|e| e.id == name) else { return };
+        let started = started.map_or(0, |t| t.0 / 1000);
+        let against =
+            Against { overtaken: kept.started != started, clock: memory.written > now, ..Against::default() };
+        let prior = worth(Fact::Pace, Source::Disk, age, 0, against);
+        if let (Use::Prior(weight), Some(slowdown)) = (prior, kept.slowdown) {
+            told.push(Input::Looks(engine, 1.0 + (slowdown - 1.0).max(0.0) * weight));
+        }
+        let away = Duration::from_millis(kept.away_until.saturating_sub(now));
+        if worth(Fact::Fails, Source::Disk, age, 0, against) == Use::Protects && !away.is_zero() {
+            told.push(Input::Hearsay(engine, Instant::now() + away));
+        }
+    });
+    told
+}
+
+/// The thread that writes.
+pub struct Writer {
+    /// Where.
+    pub folder: Folder,
+    /// Whose.
+    pub owner: Owner,
+    /// Names of the classes.
+    pub classes: Vec<String>,
+    /// Names of the engines.
+    pub members: Members,
+    /// What is reported.
+    pub figures: Arc<Figures>,
+    /// For the log.
+    pub log: Logger,
+}
+
+/// What it has done.
+#[derive(Default)]
+struct Tally {
+    records: u64,
+    keys: u64,
+    errors: u64,
+    dropped: u64,
+}
+
+impl Writer {
+    /// Starts it; it ends with the line's other end.
+    ///
+    /// # Errors
+    /// Where the system gives no thread.
+    pub fn start(self, notes: mpsc::Receiver<Note>) -> std::io::Result<()> {
+        std::thread::Builder::new().name("state".into()).spawn(move || self.run(notes)).map(|_| ())
+    }
+
+    fn run(mut self, mut notes: mpsc::Receiver<Note>) {
+        let (mut tally, mut well, mut said) = (Tally::default(), true, false);
+        let mut locked = None;
+        let mut keeper = Keeper::new(&self.folder, self.owner);
+        let mut batch = Vec::new();
+        while let Some(first) = notes.blocking_recv() {
+            batch.push(first);
+            while let Ok(more) = notes.try_recv() {
+                batch.push(more);
+            }
+            if locked.is_none() {
+                locked = self.folder.lock().unwrap_or_default();
+                if locked.is_none() {
+                    // The other one of an upgrade ends soon; whoever else it is was there first.
+                    if !std::mem::replace(&mut said, true) {
+                        warn!(self.log, "another process writes in the folder, this one waits");
+                    }
+                    tally.dropped += batch.drain(..).len() as u64;
+                    self.report(&tally);
+                    std::thread::sleep(LOCK_EVERY);
+                    continue;
+                }
+                keeper = Keeper::new(&self.folder, self.owner);
+                info!(self.log, "keeps its memory");
+            }
+            let done = self.write(&mut keeper, &mut batch, &mut tally);
+            match (&done, well) {
+                (Err(why), true) => error!(self.log, "not kept"; "why" => why),
+                (Ok(()), false) => info!(self.log, "kept again"),
+                _ => {}
+            }
+            tally.errors += u64::from(done.is_err());
+            well = done.is_ok();
+            self.report(&tally);
+        }
+    }
+
+    fn write(&mut self, keeper: &mut Keeper, batch: &mut Vec<Note>, tally: &mut Tally) -> Result<(), String> {
+        let (mut keys, mut all) = (Vec::new(), None);
+        for note in batch.drain(..) {
+            match note {
+                Note::Key(key) => keys.push(key),
+                Note::All(classes, looks, inside) => all = Some((classes, looks, inside)),
+            }
+        }
+        if let Some((classes, looks, mut inside)) = all {
+            // What was sent after they were gathered is in neither.
+            inside.extend(
+                keys.iter().filter(|k| !inside.iter().any(|i| i.key == k.key)).copied().collect::<Vec<_>>(),
+            );
+            let memory = self.memory(&classes, &looks, inside);
+            keeper.save(&mut self.folder, &memory).map_err(|e| e.to_string())?;
+            tally.records += 1;
+            tally.keys += keys.len() as u64;
+            return Ok(());
+        }
+        if !keys.is_empty() {
+            keeper.append(&mut self.folder, &keys).map_err(|e| e.to_string())?;
+            tally.keys += keys.len() as u64;
+        }
+        Ok(())
+    }
+
+    fn memory(&self, classes: &[ClassPace], looks: &[Look], keys: Vec<KeyMemory>) -> Memory {
+        let mut engines = Vec::new();
+        self.members.each(|name, engine, started| {
+            let Some(look) = looks.iter().find(|l| l.engine == engine) else { return };
+            engines.push(EngineMemory {
+                id: name.to_owned(),
+                started: started.map_or(0, |t| t.0 / 1000),
+                slowdown: look.slowdown,
+                away_until: look.away_until.map_or(0, |t| t.0 / 1000),
+            });
+        });
+        let class = |(name, pace): (&String, &ClassPace)| ClassMemory {
+            name: name.clone(),
+            exec: pace.exec,
+            best: None,
+            width: pace.width,
+        };
+        let classes = self.classes.iter().zip(classes).map(class).collect();
+        let (written, serial) = (unix_ms(), self.members.serial());
+        Memory { written, serial, living: 0, engines, classes, keys }.checked()
+    }
+
+    fn report(&self, tally: &Tally) {
+        self.figures.set_state(vec![
+            ("records", tally.records, 'c'),
+            ("keys_kept", tally.keys, 'c'),
+            ("errors", tally.errors, 'c'),
+            ("dropped", tally.dropped, 'c'),
+        ]);
+    }
+}
+
+/// What stands in a folder, for `reedwalk state show` and `verify`.
+///
+/// # Errors
+/// Where the folder can't be read, or with `strict` where something in it is not sound.
+pub fn show(path: &Path, strict: bool) -> Result<String, String> {
+    use reedwalk_recovery::keep::Files;
+    use std::fmt::Write as _;
+    std::fs::read_dir(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let folder = Folder::open(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let mut names: Vec<_> = folder.names().map_err(|e| e.to_string())?;
+    names.sort();
+    let (mut text, mut sound) = (String::new(), true);
+    for name in names.iter().filter(|n| n.starts_with("record-")) {
+        let read = folder.read(name, reedwalk_recovery::record::RECORD_MOST).map_err(|e| e.to_string());
+        match read.and_then(|b| reedwalk_recovery::record::read(&b).map_err(|e| e.to_string())) {
+            Ok(record) => {
+                let memory = &record.memory;
+                let age = unix_ms().saturating_sub(memory.written) / 1000;
+                let _ = writeln!(
+                    text,
+                    "{name}: sound, written {age} s ago, host {:016x}, front end {:016x}, settings {:016x}",
+                    record.owner.host, record.owner.front, record.owner.settings
+                );
+                if !strict {
+                    for class in &memory.classes {
+                        let _ = writeln!(text, "  class {}: {:.1} ms", class.name, class.exec.0 / 1000.0);
+                    }
+                    for engine in &memory.engines {
+                        let slow = engine.slowdown.map_or("not seen".into(), |s| format!("{s:.2} times"));
+                        let _ = writeln!(text, "  engine {}: {slow}", engine.id);
+                    }
+                }
+                let (log, owner) = (name.replace("record", "log"), record.owner);
+                let bytes = folder.read(&log, reedwalk_recovery::log::LOG_MOST).unwrap_or_default();
+                let (entries, whole) = reedwalk_recovery::log::read(owner, record.generation, &bytes);
+                let torn = bytes.len() - whole;
+                let _ = writeln!(
+                    text,
+                    "  keys: {} in the record, {} in its log, {torn} bytes torn",
+                    memory.keys.len(),
+                    entries.len()
+                );
+            }
+            Err(why) => {
+                sound = false;
+                let _ = writeln!(text, "{name}: NOT SOUND: {why}");
+            }
+        }
+    }
+    if text.is_empty() {
+        text.push_str("no record\n");
+    }
+    if strict && !sound { Err(text) } else { Ok(text) }
+}
+
+/// Takes away all that is kept in a folder; nobody may be writing there.
+///
+/// # Errors
+/// Where another process writes there, or the folder refuses.
+pub fn forget(path: &Path) -> Result<String, String> {
+    use reedwalk_recovery::keep::Files;
+    let said = |e: std::io::Error| format!("{}: {e}", path.display());
+    std::fs::read_dir(path).map_err(said)?;
+    let mut folder = Folder::open(path).map_err(said)?;
+    let Some(_locked) = folder.lock().map_err(said)? else {
+        return Err(format!("{}: a front end writes there; end it first", path.display()));
+    };
+    let names = folder.names().map_err(said)?;
+    let ours = |n: &&String| n.starts_with("record-") || n.starts_with("log-") || *n == "beside";
+    let names: Vec<_> = names.iter().filter(ours).collect();
+    for name in &names {
+        folder.remove(name).map_err(said)?;
+    }
+    Ok(format!("{} files forgotten\n", names.len()))
+}
--- a/recovery/src/lib.rs
+++ b/recovery/src/lib.rs
@@ -3,6 +3,7 @@
 //! told the time, in milliseconds of the Unix clock.
 
 pub mod keep;
+pub mod keys;
 pub mod log;
 pub mod memory;
 pub mod record;
--- a/recovery/src/log.rs
+++ b/recovery/src/log.rs
@@ -56,8 +56,12 @@
     const OWNER: Owner = Owner { host: 1, front: 2, settings: 3 };
 
     fn keys() -> Vec<KeyMemory> {
-        let key =
-            |n| KeyMemory { key: u64::MAX - n, reached: Reached::Sent(Some(n)), sent: 1_700_000_000_000 };
+        let key = |n| KeyMemory {
+            key: u64::MAX - n,
+            reached: Reached::Sent,
+            group: Some(n),
+            sent: 1_700_000_000_000,
+        };
         (0..5).map(key).collect()
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -622,4 +622,15 @@
     pub slowdown: Option<f64>,
     /// Threads of this gateway's own queries there.
     pub threads: f64,
+    /// Until when it is left alone, by this gateway's own finding.
+    pub away_until: Option<Time>,
+}
+
+/// How long a class's queries take, as one gateway has learned: means in microseconds, and samples that they rest on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ClassPace {
+    /// Execution time of the served.
+    pub exec: (f64, f64),
+    /// Work over threads.
+    pub width: (f64, f64),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 mod checks;
 pub mod interface;
 mod mean;
+mod memory;
 pub mod policy;
 mod state;
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -84,11 +84,11 @@
     next_beat: i64,
     still: bool,
     subscribe_at: Option<i64>,
-    classes: Vec<Class>,
+    pub(crate) classes: Vec<Class>,
     /// Evidence of all engines together: it decides for an engine that has too little of its own.
     pool: Evidence,
     last_period: i64,
-    engines: BTreeMap<EngineId, Engine>,
+    pub(crate) engines: BTreeMap<EngineId, Engine>,
     requests: BTreeMap<RequestId, Request>,
     /// For each class what waits, in rising target order.
     held: Vec<BTreeSet<HeldKey>>,
@@ -706,7 +706,7 @@
     // ---- Cold starts
 
     /// How warm an engine surely is, from the rule's start to 1.
-    fn warm_at(&self, engine: &Engine) -> f64 {
+    pub(crate) fn warm_at(&self, engine: &Engine) -> f64 {
         let rules = &self.settings.rules;
         let Some(since) = engine.cold_since else { return 1.0 };
         let share = (self.now - since) as f64 / us(rules.cold_for).max(1) as f64;
--- a/src/state.rs
+++ b/src/state.rs
@@ -221,7 +221,8 @@
 
     /// What others may hear of it.
     pub(crate) fn view(&self, slowdown: Option<f64>) -> Look {
-        Look { engine: self.entry.engine, slowdown, threads: self.threads }
+        let away_until = (self.quarantined_until > 0).then_some(Time(self.quarantined_until as u64));
+        Look { engine: self.entry.engine, slowdown, threads: self.threads, away_until }
     }
 
     /// An attempt has ended there.
--- a/standins/src/record.rs
+++ b/standins/src/record.rs
@@ -125,6 +125,24 @@
         late
     }
 
+    /// Keys of which attempts began in two groups of engines that don't know of each other's, within the window of the
+    /// first: their effect may have come twice.
+    pub fn doubled<G: PartialEq>(&self, group: impl Fn(&str) -> G, window: Duration) -> usize {
+        let mut first: BTreeMap<String, (Instant, G, bool)> = BTreeMap::new();
+        for seen in self.lock().iter() {
+            if let What::Began { key: Some(key), .. } = &seen.what {
+                let group = group(&seen.engine);
+                match first.get_mut(key) {
+                    Some((at, there, twice)) => {
+                        *twice |= *there != group && seen.at.duration_since(*at) <= window;
+                    }
+                    None => _ = first.insert(key.clone(), (seen.at, group, false)),
+                }
+            }
+        }
+        first.values().filter(|f| f.2).count()
+    }
+
     /// The most attempts that any request had, over all engines; each client's try has an id of its own.
     pub fn most_attempts(&self) -> usize {
         let mut attempts: BTreeMap<String, usize> = BTreeMap::new();
@@ -175,6 +193,9 @@
         record.see("a", "1", began(3_000));
         record.see("b", "2", began(1));
         assert_eq!(record.most_out_of_a_key(), 2);
+        assert_eq!(record.doubled(str::to_owned, Duration::from_secs(12)), 1);
+        assert_eq!(record.doubled(|_| 0, Duration::from_secs(12)), 0, "one group");
+        assert_eq!(record.doubled(str::to_owned, Duration::ZERO), 0, "not within the window");
         assert_eq!(record.late_sends("a", told, Duration::ZERO), 1);
         assert_eq!(record.most_attempts(), 1);
         assert_eq!(record.sent_after_window(Duration::from_secs(12)), 0);
