Keep engines' groups in one place that forgets those gone, and take locks in one

Need: read once more, kept.rs remembered every engine that was ever listed (twin of keys.rs, which forgets those gone): state that grows with ids. The lock on a file stood twice, the Unix time twice, and the writer joined keys as Memory::add does.

--- a/gateway/src/broker/kept.rs
+++ b/gateway/src/broker/kept.rs
@@ -1,10 +1,12 @@
 //! Keyed requests and stages of a front end that keeps a memory. What one may do is decided in `reedwalk-recovery`; here
 //! stands which class has keys, which group an engine is in, and when there is something to write. Nothing is waited for.
 
+use super::groups::Groups;
 use super::message::Ask;
 use crate::console::Health;
 use crate::figures::Figures;
-use crate::state::{Note, unix_ms};
+use crate::state::Note;
+use crate::store::unix_ms;
 use reedwalk_core::{Effect, EngineEntry, EngineId, Gateway, KeyScope};
 use reedwalk_recovery::Millis;
 use reedwalk_recovery::keys::{Keyed, Keys, Step};
@@ -12,7 +14,6 @@
 use reedwalk_recovery::stages::{May, Return, Setup, Stage};
 use reedwalk_settings::Deployment;
 use slog::{Logger, info};
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -51,7 +52,7 @@
     back: Return,
     keys: Keys,
     classes: Vec<Option<(KeyScope, Keyed)>>,
-    engines: HashMap<EngineId, EngineEntry>,
+    groups: Groups,
     save_at: Instant,
     report_at: Instant,
     epoch: (Millis, Instant),
@@ -84,7 +85,7 @@
             back,
             keys: Keys::new(&keeping.keys, window, started),
             classes,
-            engines: HashMap::new(),
+            groups: Groups::default(),
             save_at: now,
             report_at: now,
             epoch: (started, now),
@@ -101,7 +102,7 @@
     }
 
     pub(super) fn engines(&mut self, entries: &[EngineEntry]) {
-        self.engines.extend(entries.iter().map(|e| (e.engine, e.clone())));
+        self.groups.take(entries);
     }
 
     /// What may a request that comes in do?
@@ -133,7 +134,7 @@
     pub(super) fn send(&mut self, ask: &Ask, engine: EngineId, now: Instant) {
         let class = self.classes.get(ask.class.0).copied().flatten();
         let Some(((scope, _), nonce)) = class.zip(ask.nonce.as_deref()) else { return };
-        let group = self.engines.get(&engine).and_then(|e| scope.group(e));
+        let group = self.groups.of(engine, scope);
         let written = self.keys.send(reedwalk_settings::key(nonce).0, group, self.ms(now));
         if let Some(key) = written {
             self.unkept += u64::from(self.notes.try_send(Note::Key(key)).is_err());
--- a/gateway/src/broker/keys.rs
+++ b/gateway/src/broker/keys.rs
@@ -2,10 +2,11 @@
 //! which request is how far, and what is asked of the store for it. Nothing here waits: answers come through the
 //! broker's queue.
 
+use super::groups::Groups;
 use super::message::{Ask, Input, Order, Rows};
 use crate::store::link::{Key, Link};
 use bytes::Bytes;
-use reedwalk_core::{Effect, EngineEntry, EngineId, KeyScope, RequestId};
+use reedwalk_core::{Effect, EngineEntry, KeyScope, RequestId};
 use reedwalk_settings::Deployment;
 use reedwalk_store::codec::VALUE_MOST;
 use reedwalk_store::keyed::{Claimed, Close, Ending, Holder, Keyed, Scope, Send, Sent, Step};
@@ -32,7 +33,7 @@
 pub(super) struct Keys {
     link: Arc<Link>,
     classes: Vec<(String, Option<(KeyScope, Duration)>)>,
-    groups: HashMap<EngineId, EngineEntry>,
+    groups: Groups,
     open: HashMap<RequestId, Entry>,
     /// Requests that were over before the answer to their claim came.
     gone: HashMap<RequestId, Entry>,
@@ -52,7 +53,7 @@
         Self {
             link,
             classes,
-            groups: HashMap::new(),
+            groups: Groups::default(),
             open: HashMap::new(),
             gone: HashMap::new(),
             marking: HashMap::new(),
@@ -62,13 +63,7 @@
 
     /// Takes in what the list says of engines.
     pub(super) fn engines(&mut self, entries: &[EngineEntry]) {
-        for entry in entries {
-            if entry.state == reedwalk_core::EngineState::Gone {
-                self.groups.remove(&entry.engine);
-            } else {
-                self.groups.insert(entry.engine, entry.clone());
-            }
-        }
+        self.groups.take(entries);
     }
 
     /// A request that has come; what it does first. A claim is on its way when it is to wait for one.
@@ -115,7 +110,7 @@
     /// the order comes back with the answer.
     pub(super) fn send(&mut self, id: RequestId, order: Order, now: Instant) -> Option<Option<Order>> {
         let Some(entry) = self.open.get_mut(&id) else { return Some(Some(order)) };
-        let group = self.groups.get(&order.engine).and_then(|e| entry.scope.group(e));
+        let group = self.groups.of(order.engine, entry.scope);
         // Of an engine in no group nobody knows whose repeats it drops.
         match entry.keyed.send(group.unwrap_or(u64::MAX), self.link.unix_ms()) {
             Send::Now => Some(Some(order)),
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -4,6 +4,7 @@
 //! final answer and never a second.
 
 mod desk;
+mod groups;
 pub mod kept;
 mod keys;
 mod message;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod figures;
 pub mod flight_meta;
 pub mod front;
+pub mod lock;
 pub mod members;
 pub mod names;
 pub mod operator;
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -19,6 +19,7 @@
 use crate::shutdown::{Asked, OVERLAP, Phase, Signals};
 use crate::state;
 use crate::store::link::Link;
+use crate::store::unix_ms;
 use crate::succession::{MAKES_ROOM, Succession};
 use reedwalk_core::{Effect, Gateway};
 use reedwalk_membership::{Part, Stage};
@@ -224,7 +225,7 @@
             let folder = state::folder::Folder::open(&terms.folder)
                 .map_err(|e| fault(format!("'state': {}: {e}", terms.folder.display())))?;
             let memory = state::find(&folder, owner, &state_log).memory;
-            let now = state::unix_ms();
+            let now = unix_ms();
             gateway.recall(&state::paces(&memory, &sockets.classes, now));
             for input in state::engines(&memory, &members, now) {
                 // It is told after the list, and before anything that comes from outside.
--- a/gateway/src/state/mod.rs
+++ b/gateway/src/state/mod.rs
@@ -8,6 +8,7 @@
 use crate::config::Config;
 use crate::figures::Figures;
 use crate::members::Members;
+use crate::store::unix_ms;
 use folder::Folder;
 use reedwalk_core::{ClassPace, Effect, Look};
 use reedwalk_recovery::Millis;
@@ -18,7 +19,7 @@
 use slog::{Logger, error, info, warn};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -45,11 +46,6 @@
     All(Vec<ClassPace>, Vec<Look>, Vec<KeyMemory>),
 }
 
-/// Milliseconds of the Unix clock.
-pub fn unix_ms() -> Millis {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as Millis
-}
-
 fn number(words: impl IntoIterator<Item = impl AsRef<[u8]>>) -> u64 {
     // A zero between words, so that no two lists of them are one.
     let bytes: Vec<_> = words.into_iter().flat_map(|w| [w.as_ref(), &[0]].concat()).collect();
@@ -151,30 +147,30 @@
 
     fn run(mut self, mut notes: mpsc::Receiver<Note>) {
         let (mut tally, mut well, mut said) = (Tally::default(), true, false);
-        let mut locked = None;
-        let mut keeper = Keeper::new(&self.folder, self.owner);
+        let mut writes = None;
         let mut batch = Vec::new();
         while let Some(first) = notes.blocking_recv() {
             batch.push(first);
             while let Ok(more) = notes.try_recv() {
                 batch.push(more);
             }
-            if locked.is_none() {
-                locked = self.folder.lock().unwrap_or_default();
-                if locked.is_none() {
-                    // The other one of an upgrade ends soon; whoever else it is was there first.
-                    if !std::mem::replace(&mut said, true) {
-                        warn!(self.log, "another process writes in the folder, this one waits");
-                    }
-                    tally.dropped += batch.drain(..).len() as u64;
-                    self.report(&tally);
-                    std::thread::sleep(LOCK_EVERY);
-                    continue;
-                }
-                keeper = Keeper::new(&self.folder, self.owner);
+            if writes.is_none()
+                && let Ok(Some(locked)) = self.folder.lock()
+            {
+                writes = Some((locked, Keeper::new(&self.folder, self.owner)));
                 info!(self.log, "keeps its memory");
             }
-            let done = self.write(&mut keeper, &mut batch, &mut tally);
+            let Some((_, keeper)) = &mut writes else {
+                // The other one of an upgrade ends soon; whoever else it is was there first.
+                if !std::mem::replace(&mut said, true) {
+                    warn!(self.log, "another process writes in the folder, this one waits");
+                }
+                tally.dropped += batch.drain(..).len() as u64;
+                self.report(&tally);
+                std::thread::sleep(LOCK_EVERY);
+                continue;
+            };
+            let done = self.write(keeper, &mut batch, &mut tally);
             match (&done, well) {
                 (Err(why), true) => error!(self.log, "not kept"; "why" => why),
                 (Ok(()), false) => info!(self.log, "kept again"),
@@ -194,12 +190,11 @@
                 Note::All(classes, looks, inside) => all = Some((classes, looks, inside)),
             }
         }
-        if let Some((classes, looks, mut inside)) = all {
-            // What was sent after they were gathered is in neither.
-            inside.extend(
-                keys.iter().filter(|k| !inside.iter().any(|i| i.key == k.key)).copied().collect::<Vec<_>>(),
-            );
-            let memory = self.memory(&classes, &looks, inside);
+        if let Some((classes, looks, inside)) = all {
+            let mut memory = self.memory(&classes, &looks, inside);
+            // What was sent after they were gathered.
+            keys.iter().for_each(|key| memory.add(*key));
+            let memory = memory.checked();
             keeper.save(&mut self.folder, &memory).map_err(|e| e.to_string())?;
             tally.records += 1;
             tally.keys += keys.len() as u64;
@@ -231,7 +226,7 @@
         };
         let classes = self.classes.iter().zip(classes).map(class).collect();
         let (written, serial) = (unix_ms(), self.members.serial());
-        Memory { written, serial, living: 0, engines, classes, keys }.checked()
+        Memory { written, serial, living: 0, engines, classes, keys }
     }
 
     fn report(&self, tally: &Tally) {
