Never write an order to an engine once it was given up, left by its client or out of time

Cause: resp/connection.rs, `Command::Stop` put a KILL behind the PULL in `out` although nothing of the PULL had gone out, and `withdraw_shut` looked at the engine's gate alone. Ruled out: the module (it sent nothing after the answer), the pool (the attempt was released at once), Flight (a call that is given up is dropped with its stream).

Mend: commands wait in `Outgoing`, whole; until its first byte is out an order is taken back when it is stopped, when its gate has shut, when its client has left (a token cancelled by the dropped ticket itself, so that a full queue to the broker delays nothing), and when its time to be written is over: its deadline, or the end of the window in which engines remember its key, counted from the first attempt that may have run. The broker looks every 50 ms for clients that have left without a word in its queue; before, this came with the module's wake-up. Flight looks at the same terms before it begins a call.

Tests: engine/resp/tests.rs, six; seen to fail with the withdrawal, the token and the time to write taken out one by one.

--- a/gateway/src/broker/desk.rs
+++ b/gateway/src/broker/desk.rs
@@ -1,12 +1,13 @@
 //! Where the fronts hand requests in.
 
-use super::message::{Answer, Ask, Failure, Input, Refusal};
+use super::message::{Answer, Ask, Failure, Input, Refusal, Reply};
 use crate::figures::{Ending, Figures, Taken};
 use reedwalk_core::{ClassId, RequestId};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
 
 /// How long a client is asked to stay away when the queue itself is full.
 const SHED_RETRY: Duration = Duration::from_secs(1);
@@ -25,6 +26,7 @@
     id: RequestId,
     answer: oneshot::Receiver<Answer>,
     queue: mpsc::Sender<Input>,
+    left: CancellationToken,
     taken: Taken,
     answered: bool,
 }
@@ -53,9 +55,11 @@
     pub fn ask(&self, ask: Ask) -> Result<Ticket, Answer> {
         let id = RequestId(self.next.fetch_add(1, Ordering::Relaxed));
         let (reply, answer) = oneshot::channel();
+        let left = CancellationToken::new();
+        let reply = Reply { answer: reply, left: left.clone() };
         let mut taken = self.figures.take(ask.class);
         match self.queue.try_send(Input::Arrival(id, Box::new(ask), reply)) {
-            Ok(()) => Ok(Ticket { id, answer, queue: self.queue.clone(), taken, answered: false }),
+            Ok(()) => Ok(Ticket { id, answer, queue: self.queue.clone(), left, taken, answered: false }),
             Err(_) => {
                 taken.end(Ending::Rejected);
                 Err(Answer::Refused { why: Refusal::Shed, retry_after: Some(SHED_RETRY) })
@@ -83,7 +87,8 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         if !self.answered {
-            // Where the queue is full the broker finds out by itself: the receiver is gone.
+            // From here on no link writes it, also where the queue is full and the broker finds out by itself.
+            self.left.cancel();
             let _ = self.queue.try_send(Input::Left(self.id));
         }
     }
--- a/gateway/src/broker/message.rs
+++ b/gateway/src/broker/message.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// A whole result: rows of text cells, in the engine's order. `None` is NULL.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -125,6 +126,15 @@
     pub statement: Bytes,
 }
 
+/// The way back to a request's client.
+#[derive(Debug)]
+pub struct Reply {
+    /// Takes the one final answer.
+    pub answer: oneshot::Sender<Answer>,
+    /// Cancelled at the moment in which the client leaves, however full the broker's queue is.
+    pub left: CancellationToken,
+}
+
 /// What this front end has found of an engine by its own traffic; others may hear of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Finding {
@@ -173,6 +183,10 @@
     pub class: ClassId,
     /// When the wait for it ends.
     pub deadline: Instant,
+    /// From then on it may not begin to be written: its time is over, or engines may have forgotten its key.
+    pub write_by: Instant,
+    /// Its client has left, or it was given up: what is not written by then is not to be.
+    pub cancelled: CancellationToken,
     /// Idempotency key.
     pub nonce: Option<Bytes>,
     /// Memory granted in MB; none leaves it to the engine.
@@ -226,7 +240,7 @@
 #[derive(Debug)]
 pub enum Input {
     /// A request, and where its answer goes.
-    Arrival(RequestId, Box<Ask>, oneshot::Sender<Answer>),
+    Arrival(RequestId, Box<Ask>, Reply),
     /// Its client waits no more.
     Left(RequestId),
     /// News of an attempt.
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -21,8 +21,8 @@
 use kept::{Entry, Kept};
 use keys::Keys;
 use reedwalk_core::{
-    Action, Arrival, AttemptNo, Ended, EngineId, EngineState, Event, Gateway, GroupId, ListScope, Outcome,
-    RequestId, Time,
+    Action, Arrival, AttemptNo, Effect, Ended, EngineId, EngineState, Event, Gateway, GroupId, ListScope,
+    Outcome, RequestId, Time,
 };
 use reedwalk_membership::Part;
 use reedwalk_settings::Deployment;
@@ -33,6 +33,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
+use tokio_util::sync::CancellationToken;
 
 /// Inputs that wait for the broker at most.
 pub const QUEUE: usize = 4096;
@@ -42,10 +43,17 @@
 const OPEN_MOST: usize = 1024;
 /// The module answers at the deadline; where it has not by then, the broker does, still inside the slack.
 const OVERDUE: Duration = Duration::from_millis(8);
+/// How often it is looked who has left without a word in the queue, while anything is open: well inside the 0.3 s
+/// after which nothing more may be done for them.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 struct Open {
     ask: Ask,
     reply: Option<oneshot::Sender<Answer>>,
+    /// Cancelled when its client leaves.
+    left: CancellationToken,
+    /// When the first attempt was sent that may have run, here or before.
+    ran_at: Option<Instant>,
     /// What its team has paid for it.
     paid: Option<Paid>,
     /// An attempt that has ended may have run.
@@ -62,7 +70,9 @@
     request: RequestId,
     number: AttemptNo,
     engine: EngineId,
+    sent: Instant,
     deadline: Instant,
+    cancelled: CancellationToken,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -133,6 +143,10 @@
     max_attempts: u32,
     retry_after: Option<Duration>,
     wake: Option<Instant>,
+    /// When it is next looked who has left.
+    look_at: Instant,
+    /// How long engines remember the keys of each class that has any.
+    windows: Vec<Option<Duration>>,
     /// The module's clock: microseconds of the Unix clock at the start, and the instant of that.
     epoch: (u64, Instant),
     pending: Vec<Event>,
@@ -156,6 +170,8 @@
         let now = Instant::now();
         let keys = shared.keys.clone().map(|link| Keys::new(link, deployment, queue.clone()));
         let Beside { contracts, keeping } = beside;
+        let window = |effect| if let Effect::Keyed { memory, .. } = effect { Some(memory) } else { None };
+        let windows = deployment.core.classes.iter().map(|c| window(c.effect)).collect();
         let kept = keeping.map(|k| Kept::new(k, deployment, shared.figures.clone(), log.clone()));
         Self {
             kept,
@@ -176,6 +192,8 @@
             max_attempts: deployment.core.limits.max_attempts,
             retry_after: deployment.core.limits.max_retry_after,
             wake: Some(now),
+            look_at: now,
+            windows,
             epoch: (unix.as_micros() as u64, now),
             pending: Vec::new(),
             tally: Tally::default(),
@@ -187,7 +205,8 @@
     pub async fn run(mut self, mut queue: mpsc::Receiver<Input>) {
         let mut batch = Vec::with_capacity(BATCH);
         loop {
-            let next = self.due.first().map(|d| d.0).into_iter().chain(self.wake).min();
+            let look_at = (!self.open.is_empty()).then_some(self.look_at);
+            let next = self.due.first().map(|d| d.0).into_iter().chain(self.wake).chain(look_at).min();
             let idle = Instant::now() + Duration::from_secs(1);
             tokio::select! {
                 taken = queue.recv_many(&mut batch, BATCH) => if taken == 0 { return },
@@ -279,7 +298,8 @@
         }
     }
 
-    fn arrive(&mut self, id: RequestId, ask: Ask, reply: oneshot::Sender<Answer>, now: Instant) {
+    fn arrive(&mut self, id: RequestId, ask: Ask, reply: Reply, now: Instant) {
+        let Reply { answer: reply, left } = reply;
         self.tally.taken += 1;
         if self.open.len() as f64 >= self.open_cap as f64 * self.share {
             self.tally.refused += 1;
@@ -305,6 +325,8 @@
         let open = Open {
             ask,
             reply,
+            left,
+            ran_at: None,
             paid: None,
             ran: false,
             erred: false,
@@ -389,7 +411,9 @@
 
     /// Tells the module of a request that may go on.
     fn admit(&mut self, id: RequestId, earlier: Option<Earlier>, now: Instant) {
-        let Some(ask) = self.open.get(&id).filter(|o| o.reply.is_some()).map(|o| &o.ask) else { return };
+        let Some(open) = self.open.get_mut(&id).filter(|o| o.reply.is_some()) else { return };
+        open.ran_at = earlier.as_ref().and_then(|e| now.checked_sub(e.ago));
+        let ask = &open.ask;
         self.pending.push(Event::Arrival(Arrival {
             request: id,
             class: ask.class,
@@ -407,6 +431,10 @@
     fn left(&mut self, id: RequestId) {
         if self.open.get_mut(&id).is_some_and(|o| o.reply.take().is_some()) {
             self.tally.left += 1;
+            debug!(self.log, "left"; "trace" => self.trace(id));
+            // Where nothing that runs may be cancelled, what has not been written still may.
+            let out = self.open.get(&id).into_iter().flat_map(|o| &o.out);
+            out.filter_map(|o| self.attempts.get(&o.1)).for_each(|o| o.cancelled.cancel());
             self.keys.iter_mut().for_each(|k| k.over(id, None));
             self.pending.push(Event::Left(id));
             self.settle(id);
@@ -417,10 +445,14 @@
     fn ended(&mut self, key: AttemptKey, end: End) {
         let Some(out) = self.attempts.remove(&key) else { return };
         self.due.remove(&(out.deadline, Due::Attempt(key)));
+        out.cancelled.cancel();
         let mut closed = true;
         if let Some(open) = self.open.get_mut(&out.request) {
             open.out.retain(|o| o.1 != key);
-            open.ran |= !end.outcome.never_ran();
+            if !end.outcome.never_ran() {
+                open.ran = true;
+                open.ran_at.get_or_insert(out.sent);
+            }
             closed = open.reply.is_none();
             let again = end.outcome == Outcome::Error && std::mem::replace(&mut open.erred, true);
             let failed = matches!(end.outcome, Outcome::Error | Outcome::Reset | Outcome::ConnectFailed);
@@ -441,13 +473,21 @@
             bill: end.bill,
             load: end.load,
         }));
-        debug!(self.log, "ended"; "engine" => out.engine.0, "outcome" => ?end.outcome, "closed" => closed);
+        debug!(self.log, "ended"; "trace" => self.trace(out.request), "attempt" => out.number.0,
+            "engine" => out.engine.0, "outcome" => ?end.outcome, "closed" => closed);
         self.settle(out.request);
     }
 
+    /// A request's id, for the log.
+    fn trace(&self, id: RequestId) -> Option<String> {
+        self.open.get(&id).map(|o| String::from_utf8_lossy(&o.ask.trace).into_owned())
+    }
+
     /// Gives a request its final answer, if it has had none.
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(reply) = self.open.get_mut(&id).and_then(|o| o.reply.take()) else { return };
+        debug!(self.log, "answered"; "trace" => self.trace(id), "refused" => matches!(answer, Answer::Refused { .. }),
+            "served" => matches!(answer, Answer::Served(_)));
         match &answer {
             Answer::Served(_) => self.tally.served += 1,
             Answer::Refused { .. } => self.tally.refused += 1,
@@ -483,6 +523,12 @@
 
     /// Attempts and requests whose time is over, and clients that have gone without a word.
     fn expire(&mut self, now: Instant) {
+        if self.look_at <= now {
+            self.look_at = now + LOOK_EVERY;
+            let gone = |o: &Open| o.reply.is_some() && o.left.is_cancelled();
+            let gone: Vec<_> = self.open.iter().filter(|o| gone(o.1)).map(|o| *o.0).collect();
+            gone.into_iter().for_each(|id| self.left(id));
+        }
         while let Some(&(at, due)) = self.due.first().filter(|d| d.0 <= now) {
             self.due.remove(&(at, due));
             match due {
@@ -502,9 +548,6 @@
         if self.wake.is_some_and(|w| w <= now) {
             self.wake = None;
             self.pending.push(Event::Woken);
-            let gone = |o: &Open| o.reply.as_ref().is_some_and(oneshot::Sender::is_closed);
-            let gone: Vec<_> = self.open.iter().filter(|o| gone(o.1)).map(|o| *o.0).collect();
-            gone.into_iter().for_each(|id| self.left(id));
             self.shared.figures.set_unavailable(self.gateway.avoided());
             self.report(now);
         }
@@ -591,6 +634,11 @@
         let Some(open) = self.open.get_mut(&id) else { return Err(AttemptNo(0)) };
         let number = AttemptNo(open.attempts);
         open.attempts += 1;
+        if open.left.is_cancelled() {
+            // Its word is still in the queue, or found no room there.
+            self.left(id);
+            return Err(number);
+        }
         if open.reply.is_none() || open.ask.deadline <= now || number.0 >= self.max_attempts {
             return Err(number);
         }
@@ -598,12 +646,17 @@
         let key = AttemptKey(self.next_key);
         self.next_key += 1;
         let deadline = until.map_or(open.ask.deadline, |u| u.min(open.ask.deadline));
+        let window = self.windows.get(open.ask.class.0).copied().flatten();
+        let forgotten = open.ran_at.zip(window).and_then(|(at, window)| at.checked_add(window));
+        let cancelled = open.left.child_token();
         let order = Order {
             key,
             engine,
             trace: open.ask.trace.clone(),
             class: open.ask.class,
             deadline,
+            write_by: forgotten.map_or(deadline, |f| f.min(deadline)),
+            cancelled: cancelled.clone(),
             nonce: open.ask.nonce.clone(),
             memory_mb: open.memory_mb,
             priority: open.priority,
@@ -626,9 +679,10 @@
         }
         let Some(open) = self.open.get_mut(&id) else { return Err(number) };
         open.out.push((number, key));
-        self.attempts.insert(key, Out { request: id, number, engine, deadline });
+        self.attempts.insert(key, Out { request: id, number, engine, sent: now, deadline, cancelled });
         self.due.insert((deadline, Due::Attempt(key)));
         self.tally.sent += 1;
+        debug!(self.log, "sent"; "trace" => self.trace(id), "attempt" => number.0, "engine" => engine.0);
         Ok(())
     }
 
--- a/gateway/src/engine/flight/call.rs
+++ b/gateway/src/engine/flight/call.rs
@@ -35,7 +35,7 @@
     Status(Box<Status>, bool),
     /// The engine answered with what can't be used.
     Unusable,
-    /// The engine takes nothing new any more; nothing was sent that runs.
+    /// Its engine takes nothing new any more, or nobody wants it; nothing was sent that runs.
     Shut,
 }
 
@@ -122,7 +122,8 @@
 
     /// Looked at last before anything goes out that runs.
     fn may_begin(&mut self) -> Result<(), Broken> {
-        if !self.gate.open(Instant::now()) {
+        let now = Instant::now();
+        if !self.gate.open(now) || now >= self.order.write_by || self.order.cancelled.is_cancelled() {
             return Err(Broken::Shut);
         }
         self.made = true;
--- /dev/null
+++ b/gateway/src/engine/pool/tests.rs
@@ -0,0 +1,118 @@
+//! Which connection an attempt goes on.
+
+use super::*;
+use reedwalk_core::ClassId;
+
+struct Fake;
+
+impl Handle for Fake {
+    fn closed(&self) -> bool {
+        false
+    }
+}
+
+const ENGINE: EngineId = EngineId(3);
+
+fn order(key: u64, trace: &'static str, now: Instant) -> Order {
+    Order {
+        key: AttemptKey(key),
+        engine: ENGINE,
+        trace: Bytes::from_static(trace.as_bytes()),
+        class: ClassId(0),
+        deadline: now + Duration::from_secs(60),
+        write_by: now + Duration::from_secs(60),
+        cancelled: Default::default(),
+        nonce: None,
+        memory_mb: None,
+        priority: 1,
+        update: false,
+        statement: Bytes::new(),
+    }
+}
+
+fn pool(notes: Option<Duration>) -> Pool<Fake> {
+    let sockets = Sockets {
+        may_tell: None,
+        classes: Vec::new(),
+        zones: Vec::new(),
+        kinds: Vec::new(),
+        connect_within: Duration::from_millis(250),
+        keepalive: Duration::from_secs(15),
+        multiplex: 2,
+        open_cap: 10,
+    };
+    let mut pool = Pool::new(Arc::new(sockets), 3, notes);
+    pool.place(ENGINE, Some((([127, 0, 0, 1], 1).into(), Gate::default())));
+    pool
+}
+
+/// Whether an attempt found its engine, and the connections that were opened so far.
+fn pick(pool: &mut Pool<Fake>, key: u64, trace: &'static str, now: Instant) -> (bool, u64) {
+    let found = pool.pick(&order(key, trace, now), now, |_, _, _| Fake).is_some();
+    (found, pool.next)
+}
+
+const NOTES: Option<Duration> = Some(Duration::from_millis(500));
+
+#[test]
+fn a_connection_is_shared_up_to_its_limit() {
+    let (mut pool, now) = (pool(NOTES), Instant::now());
+    let opened: Vec<_> =
+        ["a", "b", "c", "d"].into_iter().zip(0..).map(|(t, k)| pick(&mut pool, k, t, now)).collect();
+    assert_eq!(opened, [(true, 1), (true, 1), (true, 2), (true, 2)]);
+}
+
+#[test]
+fn all_engines_together_keep_to_their_share_of_descriptors() {
+    let (mut pool, now) = (pool(NOTES), Instant::now());
+    let found: Vec<_> = ["a", "b", "c", "d", "e", "f", "g"]
+        .into_iter()
+        .zip(0..)
+        .map(|(t, k)| pick(&mut pool, k, t, now).0)
+        .collect();
+    assert_eq!(found, [true, true, true, true, true, true, false]);
+    pool.release(AttemptKey(0), false);
+    assert!(pick(&mut pool, 7, "h", now).0);
+}
+
+#[test]
+fn an_id_that_is_out_or_was_given_up_does_not_share_its_connection() {
+    let (mut pool, now) = (pool(NOTES), Instant::now());
+    assert_eq!(pick(&mut pool, 0, "a", now), (true, 1));
+    pool.release(AttemptKey(0), true);
+    assert_eq!(pick(&mut pool, 1, "a", now), (true, 2), "an answer that crossed the KILL would be its own");
+    assert_eq!(pick(&mut pool, 2, "b", now).1, 2);
+}
+
+#[test]
+fn silence_counts_where_notes_are_missed_and_not_where_there_are_none() {
+    let later = Duration::from_secs(2);
+    let (mut told, mut untold, now) = (pool(NOTES), pool(None), Instant::now());
+    for pool in [&mut told, &mut untold] {
+        assert_eq!(pick(pool, 0, "a", now), (true, 1));
+    }
+    assert_eq!(pick(&mut told, 1, "b", now + later), (true, 2));
+    assert_eq!(pick(&mut untold, 1, "b", now + later), (true, 1), "a long query is no silence");
+    // A given-up attempt with nothing heard since leaves its connection in doubt in either case.
+    untold.release(AttemptKey(1), true);
+    assert_eq!(pick(&mut untold, 2, "c", now + later), (true, 2));
+}
+
+#[test]
+fn a_connection_about_to_be_closed_as_idle_is_not_used() {
+    let (mut pool, now) = (pool(NOTES), Instant::now());
+    assert_eq!(pick(&mut pool, 0, "a", now), (true, 1));
+    pool.release(AttemptKey(0), false);
+    assert_eq!(pick(&mut pool, 1, "b", now + Duration::from_millis(14_500)), (true, 2));
+}
+
+#[test]
+fn an_engine_that_is_gone_takes_nothing_and_is_forgotten_when_its_work_has_ended() {
+    let (mut pool, now) = (pool(NOTES), Instant::now());
+    assert_eq!(pick(&mut pool, 0, "a", now), (true, 1));
+    pool.place(ENGINE, None);
+    assert!(!pick(&mut pool, 1, "b", now).0);
+    assert!(pool.find(AttemptKey(0)).is_some(), "what is out may still be answered");
+    pool.release(AttemptKey(0), false);
+    assert!(pool.engines.is_empty() && pool.attempts.is_empty());
+}
--- a/gateway/src/engine/resp/connection.rs
+++ b/gateway/src/engine/resp/connection.rs
@@ -1,14 +1,15 @@
 //! One connection to an engine: a task that writes commands and reads answers, many attempts at a time.
 
+use super::outgoing::Outgoing;
 use super::wire::{self, BadAnswer, PAGES_MOST, Reply, Word};
 use crate::broker::{AttemptKey, End, Input, News, Order, Rows};
 use crate::engine::pool::Heard;
 use crate::engine::{Gate, RESULT_MOST};
 use crate::figures::Figures;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use reedwalk_core::Outcome;
 use reedwalk_settings::Sockets;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,20 +35,12 @@
 
 struct Attempt {
     key: AttemptKey,
-    /// Bytes written in all once its command is whole on the wire.
-    whole_at: u64,
+    /// Its command is whole on the wire.
+    sent: bool,
     /// The first answer, and the pages that have come.
     served: Option<Box<(Reply, BTreeMap<u32, Bytes>)>>,
 }
 
-/// A command in `out` that starts an attempt and is not wholly written: where it stands, counted like `written`.
-struct Unwritten {
-    begins: u64,
-    ends: u64,
-    key: AttemptKey,
-    gate: Gate,
-}
-
 /// How a connection that was up has ended.
 enum Over {
     /// The engine closed or reset it, or nobody wants it any more.
@@ -66,10 +59,7 @@
     commands: mpsc::Receiver<Command>,
     by_id: HashMap<Bytes, Attempt>,
     ids: HashMap<AttemptKey, Bytes>,
-    out: BytesMut,
-    unwritten: VecDeque<Unwritten>,
-    queued: u64,
-    written: u64,
+    out: Outgoing,
 }
 
 impl Task {
@@ -91,10 +81,7 @@
             commands,
             by_id: HashMap::new(),
             ids: HashMap::new(),
-            out: BytesMut::new(),
-            unwritten: VecDeque::new(),
-            queued: 0,
-            written: 0,
+            out: Outgoing::default(),
         }
     }
 
@@ -136,7 +123,7 @@
         left.sort_by_key(|a| a.key);
         for attempt in left {
             let outcome = match over {
-                _ if attempt.whole_at > self.written => unsent,
+                _ if !attempt.sent => unsent,
                 Some(Over::Spoilt { .. }) if std::mem::replace(&mut answered_for, true) => Outcome::Cancelled,
                 _ => Outcome::Reset,
             };
@@ -165,20 +152,17 @@
                     if ready.is_err() {
                         return Over::Broken;
                     }
-                    // Looked at last before the bytes go: they may have lain here while the socket was full.
+                    // Looked at last before the bytes go: they may have lain here while the socket was not up or full.
                     // Telling of what was withdrawn may take long; then it is looked at anew.
-                    if self.withdraw_shut(Instant::now()).await {
+                    let void = self.out.withdraw_void(Instant::now());
+                    if !void.is_empty() {
+                        for key in void {
+                            self.unsent(key).await;
+                        }
                         continue;
                     }
-                    match writer.try_write(&self.out) {
-                        Ok(n) if n > 0 => {
-                            self.out.advance(n);
-                            self.written += n as u64;
-                            while self.unwritten.front().is_some_and(|o| o.ends <= self.written) {
-                                self.unwritten.pop_front();
-                                self.figures.upstream();
-                            }
-                        }
+                    match writer.try_write_vectored(&self.out.slices()) {
+                        Ok(n) if n > 0 => self.written(n),
                         Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
                         _ => return Over::Broken,
                     }
@@ -213,67 +197,40 @@
         }
     }
 
-    /// Takes orders whose engine's gate has shut out of what is to be written, unless they have begun to be. They
-    /// never ran. Whether there were any.
-    async fn withdraw_shut(&mut self, now: Instant) -> bool {
-        let withdrawn = |o: &Unwritten, written| o.begins >= written && !o.gate.open(now);
-        if !self.unwritten.iter().any(|o| withdrawn(o, self.written)) {
-            return false;
+    /// An attempt was withdrawn before it was written; it never ran.
+    async fn unsent(&mut self, key: AttemptKey) {
+        if let Some(id) = self.ids.get(&key).cloned() {
+            self.end(&id, Outcome::Moot.into()).await;
         }
-        let (mut kept, mut from, mut less) = (BytesMut::new(), self.written, 0);
-        for mut order in std::mem::take(&mut self.unwritten) {
-            let id = self.ids.get(&order.key).cloned();
-            if !withdrawn(&order, self.written) {
-                order.begins -= less;
-                order.ends -= less;
-                if let Some(attempt) = id.and_then(|id| self.by_id.get_mut(&id)) {
-                    attempt.whole_at = order.ends;
-                }
-                self.unwritten.push_back(order);
-                continue;
-            }
-            kept.extend_from_slice(
-                &self.out[(from - self.written) as usize..(order.begins - self.written) as usize],
-            );
-            from = order.ends;
-            less += order.ends - order.begins;
-            if let Some(id) = id {
-                self.end(&id, Outcome::Moot.into()).await;
-            }
-        }
-        kept.extend_from_slice(&self.out[(from - self.written) as usize..]);
-        self.out = kept;
-        self.queued -= less;
-        true
     }
 
-    fn put(&mut self, words: &[&[u8]]) {
-        let before = self.out.len();
-        wire::put_array(&mut self.out, words);
-        self.queued += (self.out.len() - before) as u64;
+    fn written(&mut self, count: usize) {
+        for key in self.out.written(count) {
+            self.figures.upstream();
+            let attempt = self.ids.get(&key).and_then(|id| self.by_id.get_mut(id));
+            attempt.into_iter().for_each(|a| a.sent = true);
+        }
     }
 
     fn command(&mut self, command: Command) {
         match command {
             Command::Start(order, gate) => {
-                let before = self.out.len();
-                let begins = self.queued;
                 let lane = self.sockets.classes.get(order.class.0).map_or("", String::as_str);
-                wire::put_order(&mut self.out, &order, lane, Instant::now());
-                self.queued += (self.out.len() - before) as u64;
-                self.unwritten.push_back(Unwritten { begins, ends: self.queued, key: order.key, gate });
+                self.out.start(&order, gate, lane, Instant::now());
                 self.ids.insert(order.key, order.trace.clone());
-                let attempt = Attempt { key: order.key, whole_at: self.queued, served: None };
-                self.by_id.insert(order.trace, attempt);
+                self.by_id.insert(order.trace, Attempt { key: order.key, sent: false, served: None });
             }
             Command::Stop(key) => {
                 let Some(id) = self.ids.remove(&key) else { return };
                 let served = self.by_id.remove(&id).is_some_and(|a| a.served.is_some());
-                self.put(&[if served { b"DISCARD" } else { b"KILL" }, &id]);
+                // What the engine has not been sent it is not sent just to be told to give it up.
+                if !self.out.withdraw(key) {
+                    self.out.put(key, &[if served { b"DISCARD" } else { b"KILL" }, &id]);
+                }
             }
             Command::Boost(key, priority) => {
                 if let Some(id) = self.ids.get(&key).cloned() {
-                    self.put(&[b"BOOST", &id, priority.to_string().as_bytes()]);
+                    self.out.put(key, &[b"BOOST", &id, priority.to_string().as_bytes()]);
                 }
             }
         }
@@ -309,14 +266,14 @@
             Word::Error => self.end(&id, failed(Outcome::Error)).await,
             Word::Alive => {}
             Word::Ok if attempt.served.is_none() => {
-                let pages = reply.pages;
+                let (key, pages) = (attempt.key, reply.pages);
                 if pages > PAGES_MOST {
                     return self.spoilt(&id, "more pages than a result has").await;
                 }
                 let first = BTreeMap::from([(0, reply.body.clone())]);
                 attempt.served = Some(Box::new((reply, first)));
                 for page in 1..pages {
-                    self.put(&[b"SCROLL", &id, page.to_string().as_bytes()]);
+                    self.out.put(key, &[b"SCROLL", &id, page.to_string().as_bytes()]);
                 }
                 return self.whole(&id).await;
             }
@@ -342,7 +299,8 @@
 
     /// Ends an attempt whose pages are all in.
     async fn whole(&mut self, id: &Bytes) -> Result<(), BadAnswer> {
-        let Some(served) = self.by_id.get(id).and_then(|a| a.served.as_ref()) else { return Ok(()) };
+        let Some(attempt) = self.by_id.get(id) else { return Ok(()) };
+        let (key, Some(served)) = (attempt.key, attempt.served.as_ref()) else { return Ok(()) };
         let (first, pages) = (&served.0, &served.1);
         if pages.values().map(Bytes::len).sum::<usize>() > RESULT_MOST {
             return self.spoilt(id, "a result that is too large").await;
@@ -356,7 +314,7 @@
         }
         let end = End { outcome: Outcome::Ok, bill: first.bill, load: first.load, rows: Some(rows) };
         if first.pages > 1 {
-            self.put(&[b"DISCARD", id]);
+            self.out.put(key, &[b"DISCARD", id]);
         }
         self.end(id, end).await;
         Ok(())
@@ -369,8 +327,7 @@
         let tell =
             |key, outcome: Outcome| _ = self.queue.try_send(Input::News(key, News::Ended(outcome.into())));
         for attempt in self.by_id.values() {
-            let unsent = attempt.whole_at > self.written;
-            tell(attempt.key, if unsent { Outcome::Moot } else { Outcome::Reset });
+            tell(attempt.key, if attempt.sent { Outcome::Reset } else { Outcome::Moot });
         }
         self.commands.close();
         while let Ok(command) = self.commands.try_recv() {
--- a/gateway/src/engine/resp/mod.rs
+++ b/gateway/src/engine/resp/mod.rs
@@ -1,6 +1,7 @@
 //! Links to engines over RESP. Connections are tasks of their own.
 
 mod connection;
+mod outgoing;
 pub mod wire;
 
 use super::Gate;
@@ -96,3 +97,6 @@
         self.pool.share(share);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/gateway/src/engine/resp/outgoing.rs
@@ -0,0 +1,109 @@
+//! What is to be written on one connection, in order. Until its first byte is out an order may be taken back: it never
+//! ran, and whoever has given it up, or may not have it run any more, is spared that it does.
+
+use super::wire;
+use crate::broker::{AttemptKey, Order};
+use crate::engine::Gate;
+use bytes::{Buf, Bytes, BytesMut};
+use std::collections::VecDeque;
+use std::io::IoSlice;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Commands that one write takes at most.
+const SLICES_MOST: usize = 64;
+
+/// What an order needs in order to go out.
+struct Terms {
+    gate: Gate,
+    cancelled: CancellationToken,
+    write_by: Instant,
+}
+
+impl Terms {
+    fn hold(&self, now: Instant) -> bool {
+        now < self.write_by && self.gate.open(now) && !self.cancelled.is_cancelled()
+    }
+}
+
+struct Command {
+    bytes: Bytes,
+    /// The attempt that it is about.
+    key: AttemptKey,
+    /// For a command that starts its attempt.
+    starts: Option<Terms>,
+}
+
+/// Commands in the order in which they are written.
+#[derive(Default)]
+pub struct Outgoing {
+    commands: VecDeque<Command>,
+    /// Part of the first has been written.
+    begun: bool,
+}
+
+impl Outgoing {
+    /// Is nothing left to be written?
+    pub fn is_empty(&self) -> bool {
+        self.commands.is_empty()
+    }
+
+    /// A command that starts an attempt.
+    pub fn start(&mut self, order: &Order, gate: Gate, lane: &str, now: Instant) {
+        let mut bytes = BytesMut::new();
+        wire::put_order(&mut bytes, order, lane, now);
+        let terms = Terms { gate, cancelled: order.cancelled.clone(), write_by: order.write_by };
+        self.commands.push_back(Command { bytes: bytes.freeze(), key: order.key, starts: Some(terms) });
+    }
+
+    /// A command about an attempt that was started before.
+    pub fn put(&mut self, key: AttemptKey, words: &[&[u8]]) {
+        let mut bytes = BytesMut::new();
+        wire::put_array(&mut bytes, words);
+        self.commands.push_back(Command { bytes: bytes.freeze(), key, starts: None });
+    }
+
+    /// Takes an attempt's commands out, if the one that starts it is here and has not begun to be written. What has
+    /// begun is another's: none of an attempt's commands stands before the one that starts it.
+    pub fn withdraw(&mut self, key: AttemptKey) -> bool {
+        let begun = usize::from(self.begun);
+        let waits = self.commands.iter().skip(begun).any(|c| c.key == key && c.starts.is_some());
+        if waits {
+            self.commands.retain(|c| c.key != key);
+        }
+        waits
+    }
+
+    /// Takes the commands of all attempts out that have not begun to be written and may not be any more.
+    pub fn withdraw_void(&mut self, now: Instant) -> Vec<AttemptKey> {
+        let begun = usize::from(self.begun);
+        let void = |c: &&Command| c.starts.as_ref().is_some_and(|t| !t.hold(now));
+        let void: Vec<_> = self.commands.iter().skip(begun).filter(void).map(|c| c.key).collect();
+        if !void.is_empty() {
+            self.commands.retain(|c| !void.contains(&c.key));
+        }
+        void
+    }
+
+    /// What is to be written next.
+    pub fn slices(&self) -> Vec<IoSlice<'_>> {
+        self.commands.iter().take(SLICES_MOST).map(|c| IoSlice::new(&c.bytes)).collect()
+    }
+
+    /// So many bytes were written; the attempts whose start is now whole on the wire.
+    pub fn written(&mut self, mut count: usize) -> Vec<AttemptKey> {
+        let mut started = Vec::new();
+        while let Some(first) = self.commands.front_mut() {
+            if count < first.bytes.len() {
+                first.bytes.advance(count);
+                self.begun |= count > 0;
+                break;
+            }
+            count -= first.bytes.len();
+            self.begun = false;
+            let first = self.commands.pop_front();
+            started.extend(first.filter(|c| c.starts.is_some()).map(|c| c.key));
+        }
+        started
+    }
+}
--- /dev/null
+++ b/gateway/src/engine/resp/tests.rs
@@ -0,0 +1,189 @@
+//! One connection: what is written on it, and what never is.
+
+use super::connection::{Command, Task};
+use crate::broker::{AttemptKey, Input, News, Order};
+use crate::engine::Gate;
+use crate::engine::pool::Heard;
+use crate::figures::Figures;
+use bytes::{Bytes, BytesMut};
+use reedwalk_core::{ClassId, EngineId, Outcome};
+use reedwalk_settings::Sockets;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// The first of them must not arrive, the second is the sign that all before it was written.
+const STOPPED: &str = "aaaaaaaaaaaaaaaa";
+const WANTED: &str = "bbbbbbbbbbbbbbbb";
+
+fn order(key: u64, trace: &'static str, size: usize) -> Order {
+    let by = Instant::now() + Duration::from_secs(60);
+    Order {
+        key: AttemptKey(key),
+        engine: EngineId(0),
+        trace: Bytes::from_static(trace.as_bytes()),
+        class: ClassId(0),
+        deadline: by,
+        write_by: by,
+        cancelled: CancellationToken::new(),
+        nonce: None,
+        memory_mb: None,
+        priority: 1,
+        update: false,
+        statement: Bytes::from(vec![b'x'; size]),
+    }
+}
+
+fn start(order: &Order) -> Command {
+    Command::Start(Box::new(order.clone()), Gate::default())
+}
+
+struct Link {
+    listener: TcpListener,
+    commands: mpsc::Sender<Command>,
+    news: mpsc::Receiver<Input>,
+    task: Task,
+}
+
+async fn link() -> Link {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (commands, orders) = mpsc::channel(512);
+    let (queue, news) = mpsc::channel(512);
+    let sockets = Sockets {
+        may_tell: None,
+        classes: vec!["lookup".into()],
+        zones: Vec::new(),
+        kinds: Vec::new(),
+        connect_within: Duration::from_secs(5),
+        keepalive: Duration::from_secs(15),
+        multiplex: 32,
+        open_cap: 10,
+    };
+    let heard = Arc::new(Heard::new(Instant::now()));
+    let peer = listener.local_addr().unwrap();
+    let task = Task::new(peer, heard, Arc::new(sockets), queue, Arc::new(Figures::default()), orders);
+    Link { listener, commands, news, task }
+}
+
+impl Link {
+    /// Lets the task connect, now that its commands have been given.
+    async fn up(self) -> (TcpStream, mpsc::Sender<Command>, mpsc::Receiver<Input>) {
+        tokio::spawn(self.task.run(Instant::now() + Duration::from_secs(5)));
+        (self.listener.accept().await.unwrap().0, self.commands, self.news)
+    }
+}
+
+/// Reads at the engine until this id has come.
+async fn read_until(engine: &mut TcpStream, id: &str) -> String {
+    let mut bytes = BytesMut::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if text.contains(id) {
+            return text;
+        }
+        assert!(engine.read_buf(&mut bytes).await.unwrap() > 0, "closed before {id}: {text}");
+    }
+}
+
+async fn outcome(news: &mut mpsc::Receiver<Input>) -> (AttemptKey, Outcome) {
+    loop {
+        if let Some(Input::News(key, News::Ended(end))) = news.recv().await {
+            return (key, end.outcome);
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_order_given_up_while_its_connection_comes_up_is_never_written() {
+    let link = link().await;
+    link.commands.try_send(start(&order(1, STOPPED, 10))).unwrap();
+    link.commands.try_send(Command::Boost(AttemptKey(1), 2)).unwrap();
+    link.commands.try_send(Command::Stop(AttemptKey(1))).unwrap();
+    link.commands.try_send(start(&order(2, WANTED, 10))).unwrap();
+    let (mut engine, _commands, _news) = link.up().await;
+    let text = read_until(&mut engine, WANTED).await;
+    assert!(!text.contains(STOPPED), "sent on after its end: {text}");
+}
+
+#[tokio::test]
+async fn the_same_where_the_word_came_after_the_order_had_gone_out_is_a_kill() {
+    let link = link().await;
+    link.commands.try_send(start(&order(1, STOPPED, 10))).unwrap();
+    let (mut engine, commands, _news) = link.up().await;
+    read_until(&mut engine, STOPPED).await;
+    commands.try_send(Command::Stop(AttemptKey(1))).unwrap();
+    let text = read_until(&mut engine, STOPPED).await;
+    assert!(text.contains("KILL"), "{text}");
+}
+
+#[tokio::test]
+async fn what_its_client_has_left_is_not_written_though_no_word_of_it_has_come() {
+    let link = link().await;
+    let left = order(1, STOPPED, 10);
+    link.commands.try_send(start(&left)).unwrap();
+    link.commands.try_send(start(&order(2, WANTED, 10))).unwrap();
+    left.cancelled.cancel();
+    let (mut engine, _commands, mut news) = link.up().await;
+    let text = read_until(&mut engine, WANTED).await;
+    assert!(!text.contains(STOPPED), "sent on for nobody: {text}");
+    assert_eq!(outcome(&mut news).await, (AttemptKey(1), Outcome::Moot), "it surely never ran");
+}
+
+#[tokio::test]
+async fn an_order_whose_time_to_be_written_is_over_is_not() {
+    let link = link().await;
+    let late = Order { write_by: Instant::now(), ..order(1, STOPPED, 10) };
+    link.commands.try_send(start(&late)).unwrap();
+    link.commands.try_send(start(&order(2, WANTED, 10))).unwrap();
+    let (mut engine, _commands, mut news) = link.up().await;
+    let text = read_until(&mut engine, WANTED).await;
+    assert!(!text.contains(STOPPED), "written after its window: {text}");
+    assert_eq!(outcome(&mut news).await, (AttemptKey(1), Outcome::Moot));
+}
+
+#[tokio::test]
+async fn an_order_that_has_begun_to_be_written_is_written_whole_and_then_killed() {
+    const LARGE: usize = 64 << 20;
+    let link = link().await;
+    link.commands.try_send(start(&order(1, STOPPED, LARGE))).unwrap();
+    link.commands.try_send(start(&order(2, "cccccccccccccccc", 10))).unwrap();
+    let (mut engine, commands, _news) = link.up().await;
+    // Its first bytes are here, and no socket holds all of it.
+    assert!(engine.read_u8().await.unwrap() == b'*');
+    commands.try_send(Command::Stop(AttemptKey(1))).unwrap();
+    commands.try_send(Command::Stop(AttemptKey(2))).unwrap();
+    commands.try_send(start(&order(3, WANTED, 10))).unwrap();
+    let text = read_until(&mut engine, WANTED).await;
+    assert!(text.contains("KILL") && text.len() > LARGE, "{} bytes", text.len());
+    assert!(!text.contains("cccccccccccccccc"), "what stood behind it had not begun");
+}
+
+#[tokio::test]
+async fn a_whole_answer_is_taken_though_commands_keep_coming() {
+    let link = link().await;
+    link.commands.try_send(start(&order(1, WANTED, 10))).unwrap();
+    let (mut engine, commands, mut news) = link.up().await;
+    read_until(&mut engine, WANTED).await;
+    let flood = commands.clone();
+    let flood = tokio::spawn(async move {
+        while flood.send(Command::Boost(AttemptKey(1), 1)).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    });
+    engine.set_nodelay(true).unwrap();
+    let (mut reader, mut writer) = engine.into_split();
+    tokio::spawn(async move {
+        let mut sink = BytesMut::new();
+        while matches!(reader.read_buf(&mut sink).await, Ok(n) if n > 0) {
+            sink.clear();
+        }
+    });
+    let answer = format!("*4\r\n$16\r\n{WANTED}\r\n$3\r\n200\r\n$7\r\ntotal=1\r\n$6\r\na\tb\tc\n\r\n");
+    writer.write_all(answer.as_bytes()).await.unwrap();
+    assert_eq!(outcome(&mut news).await, (AttemptKey(1), Outcome::Ok));
+    flood.abort();
+}
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -188,6 +188,8 @@
         trace: Bytes::from_static(b"9b1f03aa5c7e2d41"),
         class: ClassId(0),
         deadline: now + Duration::from_millis(1500),
+        write_by: now + Duration::from_millis(1500),
+        cancelled: Default::default(),
         nonce: nonce.map(|n| Bytes::from_static(n.as_bytes())),
         memory_mb,
         priority: 2,
