Look whether an idle connection was closed by its engine before a request is written there

Seen by reading, then by the test: where the engine's close and a new order both lie ready when the connection's task runs, `serve` wrote the order first and met the close afterwards; the attempt ended as Reset, which may have run, so that an unsafe class failed, a keyed one was bound to its engine, and the engine was blamed for it.

Cause: resp/connection.rs, the branch of `writable` went before that of the read, and the runtime's readiness is what it was last told. Ruled out: our own idle close, which is a second earlier than the engine's (CLOSE_EARLY).

Mend: where nothing is out on the connection, the system is asked (a peek of one byte) before the write. A request that was kept back so never ran, and goes elsewhere. With something out the close is a reset for that anyway.

Test: an_order_that_meets_a_connection_closed_by_its_engine_never_ran; seen to fail with the look taken out.

--- a/gateway/src/engine/resp/connection.rs
+++ b/gateway/src/engine/resp/connection.rs
@@ -9,7 +9,9 @@
 use bytes::{Bytes, BytesMut};
 use reedwalk_core::Outcome;
 use reedwalk_settings::Sockets;
+use socket2::SockRef;
 use std::collections::{BTreeMap, HashMap};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -161,6 +163,12 @@
                         }
                         continue;
                     }
+                    // A request that crosses the close of an idle connection may have run, for all we know; one that
+                    // is kept back may go elsewhere. The runtime goes by what it was last told of a socket, so the
+                    // system itself is asked.
+                    if !self.by_id.values().any(|a| a.sent) && closed(writer.as_ref()) {
+                        return Over::Broken;
+                    }
                     match writer.try_write_vectored(&self.out.slices()) {
                         Ok(n) if n > 0 => self.written(n),
                         Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
@@ -321,6 +329,14 @@
     }
 }
 
+/// Has the other side closed, with all that it sent read?
+fn closed(stream: &TcpStream) -> bool {
+    match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(n) => n == 0,
+        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+    }
+}
+
 impl Drop for Task {
     /// Where the task ends before its time, by a panic or with its core, what it had out is told all the same.
     fn drop(&mut self) {
--- a/gateway/src/engine/resp/tests.rs
+++ b/gateway/src/engine/resp/tests.rs
@@ -162,6 +162,17 @@
     assert!(!text.contains("cccccccccccccccc"), "what stood behind it had not begun");
 }
 
+#[tokio::test]
+async fn an_order_that_meets_a_connection_closed_by_its_engine_never_ran() {
+    let link = link().await;
+    let (engine, commands, mut news) = link.up().await;
+    let closed = engine.into_std().unwrap();
+    // Both lie there when the task next runs: it has no turn between these lines.
+    drop(closed);
+    commands.try_send(start(&order(1, STOPPED, 10))).unwrap();
+    assert_eq!(outcome(&mut news).await, (AttemptKey(1), Outcome::Moot));
+}
+
 #[tokio::test]
 async fn a_whole_answer_is_taken_though_commands_keep_coming() {
     let link = link().await;
