Keep an id off its connection while an answer to it may come; reuse connections of short idle time

Seen by reading, shown by tests against the stand-in and the pool: - A second copy of an error that comes milliseconds after the first ended the next attempt of the same request, which had gone to the same engine on the same connection under the same id: the client got a failure, and the module counted an attempt as over that still ran. Cause: pool.rs, `release` remembered an id only where its attempt was given up. - An id that was given up was free again after 5 s (SPENT_FOR), whatever its request's deadline: under deadlines of 16 s an answer of the first attempt could be taken for a later one's. - CLOSE_EARLY, a fixed second: where engines close idle connections after a second or less, every connection counted as idle at once and none was ever used again. At most a quarter of the keepalive now. - The ids of a connection were not bounded: 1,024 given up at most, then it takes no more; 256 answered, the oldest goes.

Ruled out: answers under ids that nobody waits for (dropped, tests/mysql_front.rs "COPY"), the other half of the crossing (a copy that comes before the next attempt is sent).

Tests: five, seen to fail with each guard taken out in turn (late copy remembered, deadline, quarter, both bounds).

--- a/gateway/src/engine/pool.rs
+++ b/gateway/src/engine/pool.rs
@@ -14,15 +14,22 @@
 
 /// Connections to one engine at most.
 const CONNECTIONS_MOST: usize = 12;
-/// Ids of attempts that were given up are not used again on their connection for so long: an answer that
-/// crossed the KILL would be taken for the new attempt's.
+/// Ids of attempts that were given up are not used again on their connection until so long after their request's time
+/// is over: an answer that crossed the KILL, or comes late, would be taken for the new attempt's.
 const SPENT_FOR: Duration = Duration::from_secs(5);
+/// So many of them on a connection at most; then it takes no further attempts.
+const SPENT_MOST: usize = 1024;
+/// The same for attempts that were answered, so long after their answer: a second copy of it may still come.
+const ANSWERED_FOR: Duration = Duration::from_secs(1);
+/// So many of these at most, the latest: a copy comes milliseconds later, if one does.
+const ANSWERED_MOST: usize = 256;
 /// With work out and nothing heard for so many times the span between notes, a connection takes no further
 /// attempts: a machine that vanished says nothing on open connections, also after it is back.
 const NOTES_MISSED: u32 = 3;
 /// The same after an attempt there was given up, where there are no notes to be missed.
 const SILENT_AFTER: Duration = Duration::from_millis(1600);
-/// Closed by us this long before the engine would, so that no request crosses its close.
+/// Closed by us this long before the engine would, so that no request crosses its close; at most a quarter of the time
+/// for which it may be idle, or none would ever be used again where that is short.
 const CLOSE_EARLY: Duration = Duration::from_secs(1);
 
 /// When anything was last read from a connection; its task writes it and the pool reads it.
@@ -61,8 +68,12 @@
     peer: SocketAddr,
     /// The stay in service that it was opened in; it serves no other.
     gate: Gate,
-    open: HashMap<AttemptKey, Bytes>,
+    /// What is out: its id, and when the wait for it ends.
+    open: HashMap<AttemptKey, (Bytes, Instant)>,
+    /// Ids that may not be used until then.
     spent: VecDeque<(Instant, Bytes)>,
+    /// Ids that were answered then, the latest last.
+    answered: VecDeque<(Instant, Bytes)>,
     heard: Arc<Heard>,
     used: Instant,
 }
@@ -92,7 +103,7 @@
 
     fn idle(&self, sockets: &Sockets, now: Instant) -> bool {
         let idle = now.saturating_duration_since(self.used);
-        self.open.is_empty() && idle + CLOSE_EARLY >= sockets.keepalive
+        self.open.is_empty() && idle + CLOSE_EARLY.min(sockets.keepalive / 4) >= sockets.keepalive
     }
 
     fn silent(&self, notes: Option<Duration>, now: Instant) -> bool {
@@ -107,14 +118,18 @@
 
 impl<C: Handle> Line<C> {
     fn takes(&mut self, trace: &Bytes, sockets: &Sockets, notes: Option<Duration>, now: Instant) -> bool {
-        while self.spent.front().is_some_and(|s| now.saturating_duration_since(s.0) > SPENT_FOR) {
-            self.spent.pop_front();
+        self.spent.retain(|s| s.0 > now);
+        while self.answered.front().is_some_and(|a| a.0 + ANSWERED_FOR <= now) {
+            self.answered.pop_front();
         }
+        let mut past = self.spent.iter().chain(&self.answered).map(|s| &s.1);
         !self.handle.closed()
             && !self.idle(sockets, now)
             && !self.silent(notes, now)
             && self.open.len() < sockets.multiplex
-            && self.open.values().chain(self.spent.iter().map(|s| &s.1)).all(|t| t != trace)
+            && self.spent.len() < SPENT_MOST
+            && self.open.values().all(|o| o.0 != trace)
+            && past.all(|t| t != trace)
     }
 }
 
@@ -178,10 +193,10 @@
             {
                 let heard = Arc::new(Heard::new(now));
                 let handle = open(address, heard.clone(), &engine.gate);
-                let (open, spent) = (HashMap::new(), VecDeque::new());
+                let (open, spent, answered) = (HashMap::new(), VecDeque::new(), VecDeque::new());
                 self.next += 1;
                 let gate = engine.gate.clone();
-                let line = Line { handle, peer: address, gate, open, spent, heard, used: now };
+                let line = Line { handle, peer: address, gate, open, spent, answered, heard, used: now };
                 engine.lines.insert(self.next, line);
                 self.next
             }
@@ -191,7 +206,7 @@
         if line.open.is_empty() {
             line.used = now;
         }
-        line.open.insert(order.key, order.trace.clone());
+        line.open.insert(order.key, (order.trace.clone(), order.deadline));
         self.attempts.insert(order.key, (order.engine, number));
         Some((&line.handle, &line.heard, &engine.gate))
     }
@@ -207,13 +222,18 @@
         let Some((id, number)) = self.attempts.remove(&key) else { return };
         let Some(engine) = self.engines.get_mut(&id) else { return };
         if let Some(line) = engine.lines.get_mut(&number)
-            && let Some(trace) = line.open.remove(&key)
+            && let Some((trace, deadline)) = line.open.remove(&key)
         {
+            let now = Instant::now();
             if given_up {
                 line.heard.suspect.store(true, Ordering::Relaxed);
-                line.spent.push_back((Instant::now(), trace));
+                line.spent.push_back((deadline.max(now) + SPENT_FOR, trace));
             } else {
-                line.used = Instant::now();
+                line.used = now;
+                line.answered.push_back((now, trace));
+                if line.answered.len() > ANSWERED_MOST {
+                    line.answered.pop_front();
+                }
             }
             if line.open.is_empty() && (line.handle.closed() || !line.serves(engine.address, &engine.gate)) {
                 engine.lines.remove(&number);
--- a/gateway/src/engine/pool/tests.rs
+++ b/gateway/src/engine/pool/tests.rs
@@ -13,11 +13,11 @@
 
 const ENGINE: EngineId = EngineId(3);
 
-fn order(key: u64, trace: &'static str, now: Instant) -> Order {
+fn order(key: u64, trace: &str, now: Instant) -> Order {
     Order {
         key: AttemptKey(key),
         engine: ENGINE,
-        trace: Bytes::from_static(trace.as_bytes()),
+        trace: Bytes::copy_from_slice(trace.as_bytes()),
         class: ClassId(0),
         deadline: now + Duration::from_secs(60),
         write_by: now + Duration::from_secs(60),
@@ -31,13 +31,18 @@
 }
 
 fn pool(notes: Option<Duration>) -> Pool<Fake> {
+    kept_for(Duration::from_secs(15), notes)
+}
+
+/// A pool whose engines close connections that are idle for so long.
+fn kept_for(keepalive: Duration, notes: Option<Duration>) -> Pool<Fake> {
     let sockets = Sockets {
         may_tell: None,
         classes: Vec::new(),
         zones: Vec::new(),
         kinds: Vec::new(),
         connect_within: Duration::from_millis(250),
-        keepalive: Duration::from_secs(15),
+        keepalive,
         multiplex: 2,
         open_cap: 10,
     };
@@ -47,7 +52,7 @@
 }
 
 /// Whether an attempt found its engine, and the connections that were opened so far.
-fn pick(pool: &mut Pool<Fake>, key: u64, trace: &'static str, now: Instant) -> (bool, u64) {
+fn pick(pool: &mut Pool<Fake>, key: u64, trace: &str, now: Instant) -> (bool, u64) {
     let found = pool.pick(&order(key, trace, now), now, |_, _, _| Fake).is_some();
     (found, pool.next)
 }
@@ -116,3 +121,58 @@
     pool.release(AttemptKey(0), false);
     assert!(pool.engines.is_empty() && pool.attempts.is_empty());
 }
+
+/// The connection of an attempt brings something.
+fn heard(pool: &Pool<Fake>) {
+    pool.engines[&ENGINE].lines.values().for_each(|l| l.heard.now());
+}
+
+#[test]
+fn an_id_that_was_given_up_stays_spent_for_as_long_as_its_request_may_last() {
+    let (mut pool, now) = (pool(None), Instant::now());
+    assert_eq!(pick(&mut pool, 0, "a", now), (true, 1));
+    pool.release(AttemptKey(0), true);
+    heard(&pool);
+    // Its request has 60 s, and an answer of the first attempt may come in all of them.
+    assert_eq!(pick(&mut pool, 1, "b", now + Duration::from_secs(6)), (true, 1), "others share it");
+    assert_eq!(pick(&mut pool, 2, "a", now + Duration::from_secs(6)), (true, 2));
+}
+
+#[test]
+fn an_id_that_was_answered_is_not_used_at_once_on_its_connection() {
+    let (mut pool, now) = (pool(NOTES), Instant::now());
+    assert_eq!(pick(&mut pool, 0, "a", now), (true, 1));
+    pool.release(AttemptKey(0), false);
+    assert_eq!(pick(&mut pool, 1, "b", now), (true, 1), "others share it");
+    assert_eq!(pick(&mut pool, 2, "a", now), (true, 2), "a second copy of the answer would be its own");
+    pool.release(AttemptKey(2), false);
+    let later = Instant::now() + ANSWERED_FOR;
+    heard(&pool);
+    assert_eq!(pick(&mut pool, 3, "a", later).1, 2, "no copy comes so late");
+}
+
+#[test]
+fn what_a_connection_remembers_of_ids_is_bounded() {
+    let (mut pool, now) = (pool(None), Instant::now());
+    for key in 0..SPENT_MOST as u64 {
+        assert_eq!(pick(&mut pool, key, &format!("a{key}"), now), (true, 1));
+        pool.release(AttemptKey(key), true);
+    }
+    assert_eq!(pick(&mut pool, 9_000, "b", now), (true, 2), "the first takes no more");
+    for key in 10_000..10_000 + 2 * ANSWERED_MOST as u64 {
+        assert_eq!(pick(&mut pool, key, &format!("c{key}"), now), (true, 2));
+        pool.release(AttemptKey(key), false);
+    }
+    assert!(pool.engines[&ENGINE].lines.values().all(|l| l.answered.len() <= ANSWERED_MOST));
+}
+
+#[test]
+fn connections_are_used_again_however_short_they_may_be_idle() {
+    let (mut pool, now) = (kept_for(Duration::from_millis(800), NOTES), Instant::now());
+    assert_eq!(pick(&mut pool, 0, "a", now), (true, 1));
+    pool.release(AttemptKey(0), false);
+    let used = Instant::now();
+    assert_eq!(pick(&mut pool, 1, "b", used + Duration::from_millis(300)), (true, 1));
+    pool.release(AttemptKey(1), false);
+    assert_eq!(pick(&mut pool, 2, "c", used + Duration::from_millis(1500)), (true, 2), "closed by now");
+}
--- a/gateway/tests/mysql_front.rs
+++ b/gateway/tests/mysql_front.rs
@@ -125,6 +125,16 @@
     assert_eq!(world.attempts("LATER 1"), 2);
 }
 
+#[tokio::test]
+async fn a_late_second_copy_of_an_error_does_not_end_the_next_attempt() {
+    let world = World::default();
+    let engines = [resp::engine("a", world.clone()).await];
+    let gateway = gateway(config(&engines), Operator::default()).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    assert_eq!(client.ask(&fields("lookup", 3000, None, "TWICE 1")).await.unwrap(), expected());
+    assert_eq!(world.attempts("TWICE 1"), 2);
+}
+
 #[tokio::test]
 async fn a_request_out_of_time_is_answered_inside_the_slack() {
     let world = World::default();
--- a/standins/src/resp.rs
+++ b/standins/src/resp.rs
@@ -44,6 +44,7 @@
                     assert!(!statement.contains("route="), "the fields comment was passed on");
                     let key = fields.split(',').find_map(|f| f.strip_prefix("dedupe="));
                     let act = world.act(name, &statement, key);
+                    let late_copy = statement.starts_with("TWICE") && open.contains_key(&id);
                     open.insert(id.clone(), statement);
                     let total = pages().len();
                     let ok = format!("total={total},elapsed=120.0,rss=64,rep=util:0.2;x0:0.1;queue:0;x1:0.1");
@@ -51,6 +52,10 @@
                     let mut answer = |word: &str, fields: &str, body: &str| {
                         put_array(&mut out, &[&id, word.as_bytes(), fields.as_bytes(), body.as_bytes()])
                     };
+                    if late_copy {
+                        // The error of the attempt before, once more, after the next one has come in.
+                        answer("500", "-", "");
+                    }
                     match act {
                         Act::Serve => answer("200", &ok, &first),
                         Act::Busy => answer("503", "-", ""),
--- a/standins/src/script.rs
+++ b/standins/src/script.rs
@@ -60,6 +60,7 @@
         let act = match statement.split_whitespace().next().unwrap_or_default() {
             "BUSY" => Act::Busy,
             "ERROR" => Act::Error,
+            "TWICE" if first => Act::Error,
             "HANG" => Act::Hang,
             "LATER" if first => Act::Hang,
             "CUT" if first => Act::Cut,
