Ask the name server from a fresh socket where the way to it has gone silent

Seen by reading, then by tests against a name server that stops answering one asker for good: `Watch::ask` kept its one UDP socket until that failed, and a flow that is dropped without a word never fails. A front end whose flow went silent asked into the void for the rest of its life, while a fresh socket would have been answered at once.

Cause: names/mod.rs, the inner loop left only on an error of `send` or `recv`. Ruled out: the numbers of queries (16 of the latest are taken, late answers count), the serial (it goes on through a reload), answers of the old server after a move (its sockets are dropped with it and the new ones are connected).

Mend: where nothing sound was heard for a second, on this socket or since the last was opened, the next query goes out on a fresh one; up to four stay, so that late answers still count. The rate of queries is the same.

Tests: silence after the first answer, and from a reload on; both seen to fail with the renewal taken out.

--- a/gateway/src/names/mod.rs
+++ b/gateway/src/names/mod.rs
@@ -4,6 +4,7 @@
 pub mod list;
 
 use crate::members::Members;
+use futures::future::select_all;
 use slog::{Logger, debug, info, warn};
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -20,6 +21,11 @@
 const QUERIES_OPEN: usize = 16;
 /// Without a sound answer for so long, the name server is said to be out of reach.
 const SILENT_AFTER: Duration = Duration::from_secs(2);
+/// Where nothing sound was heard for so long, it is asked from a fresh socket as well: a way that has gone silent once
+/// may stay so for good.
+const RENEW_AFTER: Duration = Duration::from_secs(1);
+/// Answers that are late may still come to the sockets before; so many in all.
+const SOCKETS_MOST: usize = 4;
 /// Answers hold up to 8,000 bytes.
 const ANSWER_MOST: usize = 9000;
 
@@ -84,32 +90,37 @@
     /// Asks one server until another takes its place.
     async fn ask(&mut self, server: SocketAddr, sources: &mut watch::Receiver<Source>) -> Over {
         let mut buffer = vec![0; ANSWER_MOST];
-        let mut next = Instant::now();
+        let (mut next, mut opened) = (Instant::now(), Instant::now());
+        // The latest first.
+        let mut sockets = VecDeque::<UdpSocket>::new();
         loop {
-            let socket = open(server).await;
-            if let Err(error) = &socket {
-                warn!(self.log, "name server"; "error" => %error);
-                next = Instant::now() + EVERY;
-            }
-            // Until the socket fails, as it does when nothing listens there; then it is opened anew.
-            while let Ok(socket) = &socket {
-                tokio::select! {
-                    over = Over::when(sources) => return over,
-                    () = sleep_until(next) => {
-                        next = Instant::now() + EVERY;
-                        if socket.send(&self.query()).await.is_err() {
-                            break;
+            tokio::select! {
+                over = Over::when(sources) => return over,
+                () = sleep_until(next) => {
+                    let now = Instant::now();
+                    next = now + EVERY;
+                    let silent = now.saturating_duration_since(self.heard.max(opened)) >= RENEW_AFTER;
+                    if sockets.is_empty() || silent {
+                        opened = now;
+                        match open(server).await {
+                            Ok(socket) => sockets.push_front(socket),
+                            Err(error) => warn!(self.log, "name server"; "error" => %error),
                         }
+                        sockets.truncate(SOCKETS_MOST);
                     }
-                    received = socket.recv(&mut buffer) => match received {
-                        Ok(size) => self.take(&buffer[..size]),
-                        Err(_) => break,
+                    let query = self.query();
+                    if let Some(socket) = sockets.front()
+                        && socket.send(&query).await.is_err()
+                    {
+                        sockets.pop_front();
                     }
                 }
-            }
-            tokio::select! {
-                over = Over::when(sources) => return over,
-                () = sleep_until(next) => {}
+                // A socket fails where nothing listens there; the next one is opened with the next query.
+                place = readable(&sockets) => match sockets[place].try_recv(&mut buffer) {
+                    Ok(size) => self.take(&buffer[..size]),
+                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                    Err(_) => _ = sockets.remove(place),
+                }
             }
         }
     }
@@ -144,6 +155,14 @@
     }
 }
 
+/// Which of them has something to be read, or has failed.
+async fn readable(sockets: &VecDeque<UdpSocket>) -> usize {
+    if sockets.is_empty() {
+        return std::future::pending().await;
+    }
+    select_all(sockets.iter().map(|s| Box::pin(s.readable()))).await.1
+}
+
 async fn open(server: SocketAddr) -> std::io::Result<UdpSocket> {
     let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0)).await?;
     socket.connect(server).await?;
--- a/gateway/tests/names.rs
+++ b/gateway/tests/names.rs
@@ -11,8 +11,11 @@
 use reedwalk_gateway::names::dns::{BadAnswer, query, read};
 use reedwalk_gateway::names::list::Book;
 use reedwalk_gateway::names::{Source, watch};
-use std::sync::Arc;
-use support::names::{Engine, answer, late_server};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use support::names::{Engine, List, answer, deaf_server, late_server, server};
+use support::until;
+use tokio::time::{Instant, timeout_at};
 
 fn engine(id: &'static str, last: u8) -> Engine {
     Engine { id: id.into(), address: ([10, 1, 0, last], 8080).into(), draining: false, started_ms: 0 }
@@ -138,17 +141,59 @@
     assert_eq!(read(&query(7, true).unwrap(), &[7]), Err(BadAnswer::NotOurs));
 }
 
-#[tokio::test]
-async fn an_answer_that_comes_after_the_next_query_still_counts() {
-    // Asked every 250 ms, it answers each query 600 ms late.
-    let server = late_server(vec![engine("s-0", 1)], std::time::Duration::from_millis(600)).await;
+/// A list that is kept up from this source.
+fn watched(source: Source) -> (tokio::sync::watch::Sender<Source>, Roll) {
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let (_source, sources) = tokio::sync::watch::channel(Source { server: Some(server), known: None });
+    let (source, sources) = tokio::sync::watch::channel(source);
     let (roll, figures) = (Roll::default(), Arc::new(Figures::default()));
-    let gates = Gates::new(std::time::Duration::from_secs(2));
+    let gates = Gates::new(Duration::from_secs(2));
     let members = Members::new(book(), gates, roll.clone(), figures, None, log.clone());
     tokio::spawn(watch(sources, members, 7, log));
-    let by = tokio::time::Instant::now() + std::time::Duration::from_secs(10);
-    tokio::time::timeout_at(by, roll.changed()).await.expect("never told");
-    assert_eq!(roll.read().len(), 1);
+    (source, roll)
+}
+
+/// What is told next.
+async fn news(roll: &Roll) -> Vec<Listed> {
+    let by = Instant::now() + Duration::from_secs(10);
+    loop {
+        timeout_at(by, roll.changed()).await.expect("never told");
+        // What was read already may have been announced a second time.
+        let news = roll.read();
+        if !news.is_empty() {
+            return news.into_iter().map(|l| l.0).collect();
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_comes_after_the_next_query_still_counts() {
+    // Asked every 250 ms, it answers each query 600 ms late.
+    let server = late_server(vec![engine("s-0", 1)], Duration::from_millis(600)).await;
+    let (_source, roll) = watched(Source { server: Some(server), known: None });
+    assert_eq!(news(&roll).await.len(), 1);
+}
+
+#[tokio::test]
+async fn a_way_to_the_name_server_that_goes_silent_for_good_is_given_up_for_a_fresh_one() {
+    let list: List = Arc::new(Mutex::new((1, vec![engine("s-0", 1)])));
+    let (server, unanswered) = deaf_server(list.clone(), 1).await;
+    let (_source, roll) = watched(Source { server: Some(server), known: None });
+    assert_eq!(news(&roll).await.len(), 1);
+    *list.lock().unwrap() = (2, vec![engine("s-0", 1), engine("s-1", 2)]);
+    assert_eq!(news(&roll).await.len(), 1, "the second one");
+    assert!(*unanswered.lock().unwrap() > 0, "the way has not gone silent");
+}
+
+#[tokio::test]
+async fn a_way_that_is_silent_from_a_reload_on_is_given_up_as_well() {
+    let list: List = Arc::new(Mutex::new((1, vec![engine("s-0", 1)])));
+    let (old, _) = server(list.clone()).await;
+    let (new, unanswered) = deaf_server(list.clone(), 0).await;
+    let (source, roll) = watched(Source { server: Some(old), known: None });
+    assert_eq!(news(&roll).await.len(), 1);
+    source.send(Source { server: Some(new), known: None }).unwrap();
+    until("the new one is asked", || *unanswered.lock().unwrap() > 0).await;
+    // The old one is asked no more, and nothing of it is taken.
+    *list.lock().unwrap() = (2, vec![engine("s-0", 1), engine("s-1", 2)]);
+    assert_eq!(news(&roll).await.len(), 1, "the second one");
 }
--- a/standins/src/names.rs
+++ b/standins/src/names.rs
@@ -76,3 +76,30 @@
     });
     address
 }
+
+/// Answers its first asker so many times and then not any more, for good; all others always. An asker is an address
+/// with its port. Counts the queries that it left unanswered.
+pub async fn deaf_server(list: List, answers: u32) -> (SocketAddr, Arc<Mutex<u32>>) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let (address, unanswered) = (socket.local_addr().unwrap(), Arc::new(Mutex::new(0)));
+    let count = unanswered.clone();
+    tokio::spawn(async move {
+        let (mut buffer, mut first, mut answered) = ([0; 600], None, 0);
+        while let Ok((size, from)) = socket.recv_from(&mut buffer).await {
+            if *first.get_or_insert(from) == from {
+                answered += 1;
+                if answered > answers {
+                    *count.lock().unwrap() += 1;
+                    continue;
+                }
+            }
+            let query = Message::from_vec(&buffer[..size]).unwrap();
+            let reply = {
+                let list = list.lock().unwrap();
+                answer(query.metadata.id, list.0, &list.1).to_vec().unwrap()
+            };
+            socket.send_to(&reply, from).await.unwrap();
+        }
+    });
+    (address, unanswered)
+}
