Answer everything before the platform ends the process, and exit with 0 before that

Seen by reading, then by tests: SIGKILL comes no sooner than the longest deadline, counted as 3 s at most, plus 0.7 s after SIGTERM. `Running::close` waited for the longest deadline itself (25 s here) plus 0.6 s, and requests kept their own deadlines: under deadlines over 3 s the process never exited by itself, and what came from 0.7 s on and outlasted 3.7 s was cut by SIGKILL with no answer, which is a lost request.

Cause: serve.rs, `since + self.longest + LAST`, and nothing that told the broker of the end. Ruled out: deadlines of 3 s and less (they end 0.1 s earlier), a second SIGTERM, SIGHUP while closing, half a request, a quiet client, a client that does not read (each is in the process test).

Mend: `shutdown::End` holds both instants (answered: longest + 0.6 s, gone: longest + 0.66 s, longest counted as 3 s at most); the phase carries it, and the broker cuts the deadlines of what is open and of what comes to it. What is out is given up at its engine.

--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::contracts::{Contracts, Paid, Verdict};
 use crate::figures::Figures;
+use crate::shutdown::Phase;
 use crate::store::link::Link;
 use bytes::Bytes;
 use kept::{Entry, Kept};
@@ -107,6 +108,8 @@
     pub figures: Arc<Figures>,
     /// This process's part of the front end.
     pub part: watch::Receiver<Part>,
+    /// How far the end of this process has come.
+    pub phase: watch::Receiver<Phase>,
     /// The store in which front ends share the keys of requests, if they do.
     pub keys: Option<Arc<Link>>,
     /// Where other front ends hear of what is found and seen here, if they do.
@@ -143,6 +146,8 @@
     max_attempts: u32,
     retry_after: Option<Duration>,
     wake: Option<Instant>,
+    /// When all is to be answered, once this process is told to end.
+    end: Option<Instant>,
     /// When it is next looked who has left.
     look_at: Instant,
     /// How long engines remember the keys of each class that has any.
@@ -192,6 +197,7 @@
             max_attempts: deployment.core.limits.max_attempts,
             retry_after: deployment.core.limits.max_retry_after,
             wake: Some(now),
+            end: None,
             look_at: now,
             windows,
             epoch: (unix.as_micros() as u64, now),
@@ -212,12 +218,14 @@
                 taken = queue.recv_many(&mut batch, BATCH) => if taken == 0 { return },
                 () = self.shared.roll.changed() => {}
                 Ok(()) = self.shared.part.changed() => {}
+                Ok(()) = self.shared.phase.changed() => {}
                 () = sleep_until(next.unwrap_or(idle)) => {}
             }
             let now = Instant::now();
             // What holds of the engines is known before anything is decided.
             self.engines();
             self.take_part();
+            self.take_phase();
             for input in batch.drain(..) {
                 self.take(input, now);
             }
@@ -255,6 +263,21 @@
         }
     }
 
+    /// Once this process is told to end, nothing open outlasts it.
+    fn take_phase(&mut self) {
+        let end = self.shared.phase.borrow_and_update().end().map(|end| end.answered);
+        if end == self.end {
+            return;
+        }
+        self.end = end;
+        let Some(end) = end else { return };
+        for (id, open) in self.open.iter_mut().filter(|o| o.1.ask.deadline > end) {
+            self.due.remove(&(open.ask.deadline + OVERDUE, Due::Request(*id)));
+            open.ask.deadline = end;
+            self.due.insert((end + OVERDUE, Due::Request(*id)));
+        }
+    }
+
     fn time(&self, now: Instant) -> Time {
         Time(self.epoch.0 + now.saturating_duration_since(self.epoch.1).as_micros() as u64)
     }
@@ -298,7 +321,8 @@
         }
     }
 
-    fn arrive(&mut self, id: RequestId, ask: Ask, reply: Reply, now: Instant) {
+    fn arrive(&mut self, id: RequestId, mut ask: Ask, reply: Reply, now: Instant) {
+        ask.deadline = self.end.map_or(ask.deadline, |end| end.min(ask.deadline));
         let Reply { answer: reply, left } = reply;
         self.tally.taken += 1;
         if self.open.len() as f64 >= self.open_cap as f64 * self.share {
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -16,7 +16,7 @@
 use crate::names::{self, Source, list::Book};
 use crate::operator::{EngineWire, Fault, Operator, Store};
 use crate::peers;
-use crate::shutdown::{Asked, OVERLAP, Phase, Signals};
+use crate::shutdown::{Asked, End, OVERLAP, Phase, Signals};
 use crate::state;
 use crate::store::link::Link;
 use crate::store::unix_ms;
@@ -72,9 +72,6 @@
 
 /// Share of the descriptors that connections to engines may hold; client sessions take 0.6.
 const ENGINES_SHARE: f64 = 0.3;
-/// What is taken is answered by its deadline; past the longest one and this there is nothing to wait for.
-const LAST: Duration = Duration::from_millis(600);
-
 /// A program that has started.
 #[derive(Debug)]
 pub struct Running {
@@ -192,7 +189,10 @@
     let (findings, found) = mpsc::channel(peers::FINDINGS);
     let (views, seen) = watch::channel(Vec::new());
     let others = tier.is_some().then_some(Others { findings, views });
-    let shared = Shared { roll: Roll::default(), figures: figures.clone(), part: part.clone(), keys, others };
+    let (phase, phases) = watch::channel(Phase::Open);
+    let (roll, part_here) = (Roll::default(), part.clone());
+    let shared =
+        Shared { roll, figures: figures.clone(), part: part_here, phase: phases.clone(), keys, others };
     let keep = kept.as_ref().map(|(folder, stem)| Keep::new(folder, stem));
     let members_log = log.new(o!("part" => "members"));
     let gates = Gates::new(deployment.core.rules.drain_grace);
@@ -286,7 +286,6 @@
     tokio::spawn(cores.clone().watch(lost, log.new(o!("part" => "cores"))));
     tokio::spawn(names::watch(sources, members, config.seed, log.new(o!("part" => "names"))));
     let desk = Desk::new(queue, figures);
-    let (phase, phases) = watch::channel(Phase::Open);
     let (alive, ended) = mpsc::channel(1);
     if second {
         // The other halves its connections first.
@@ -413,8 +412,9 @@
     }
 
     /// Says that this process ends, and returns once another of this front end takes clients at the same address, or
-    /// at `by`: until then newcomers have nowhere else to go.
-    pub async fn relieved(&self, by: Instant) {
+    /// after the overlap: until then newcomers have nowhere else to go. It was told to end at `told`.
+    pub async fn relieved(&self, told: Instant) {
+        self.phase.send_replace(Phase::Ending(End::new(told, self.longest)));
         self.stage.send_replace(Stage::Closing);
         self.ends.send_replace(true);
         let mut part = self.part.clone();
@@ -424,15 +424,16 @@
                 std::future::pending::<()>().await;
             }
         };
-        let _ = timeout_at(by, relieved).await;
+        let _ = timeout_at(told + OVERLAP, relieved).await;
     }
 
-    /// Closes the fronts to what is new and waits until all that was taken is answered, counted from `since`.
-    pub async fn close(mut self, since: Instant) {
-        self.phase.send_replace(Phase::Closing);
+    /// Closes the fronts to what is new and waits until all that was taken is answered. It was told to end at `told`.
+    pub async fn close(mut self, told: Instant) {
+        let end = End::new(told, self.longest);
+        self.phase.send_replace(Phase::Closing(end));
         self.health.set(false);
         // Each session holds a sender: when all are gone, all that was taken has been answered.
-        let _ = timeout_at(since + self.longest + LAST, self.ended.recv()).await;
+        let _ = timeout_at(end.gone, self.ended.recv()).await;
     }
 }
 
@@ -466,7 +467,7 @@
     let came = Instant::now();
     info!(log, "closing");
     let ending = async {
-        running.relieved(came + OVERLAP).await;
+        running.relieved(came).await;
         running.close(came).await;
     };
     tokio::pin!(ending);
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -8,13 +8,49 @@
 /// New connections and requests keep coming for this long after SIGTERM.
 pub const OVERLAP: Duration = Duration::from_millis(750);
 
+/// The platform counts a longest deadline as no more than this, and ends the process 0.7 s after that at the soonest.
+const LONGEST_MOST: Duration = Duration::from_secs(3);
+/// So long after the longest deadline, counted so, what is still open is answered.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(600);
+/// So long after it the process ends, whether all clients have taken their answers or not.
+const ENDED_WITHIN: Duration = Duration::from_millis(660);
+
 /// How far the end has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
     /// Serving.
     Open,
+    /// Told to end; what is new is still accepted.
+    Ending(End),
     /// Nothing new is accepted; what is taken is finished, and idle sessions close.
-    Closing,
+    Closing(End),
+}
+
+/// When the end is to be reached: what SIGKILL finds unanswered is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct End {
+    /// By then each request has its answer, its own deadline aside.
+    pub answered: Instant,
+    /// Then the process is gone.
+    pub gone: Instant,
+}
+
+impl End {
+    /// The end of a process that was told to end at `told`, where no request's deadline is longer than `longest`.
+    pub fn new(told: Instant, longest: Duration) -> Self {
+        let longest = told + longest.min(LONGEST_MOST);
+        Self { answered: longest + ANSWERED_WITHIN, gone: longest + ENDED_WITHIN }
+    }
+}
+
+impl Phase {
+    /// When the end is to be reached, if one is near.
+    pub fn end(self) -> Option<End> {
+        match self {
+            Self::Open => None,
+            Self::Ending(end) | Self::Closing(end) => Some(end),
+        }
+    }
 }
 
 /// The signals that the program listens to. From the moment this is made none of them ends it.
@@ -65,5 +101,5 @@
 
 /// Returns when the fronts are to close.
 pub async fn closing(phase: &mut watch::Receiver<Phase>) {
-    let _ = phase.wait_for(|p| *p == Phase::Closing).await;
+    let _ = phase.wait_for(|p| matches!(p, Phase::Closing(_))).await;
 }
--- a/gateway/tests/broker.rs
+++ b/gateway/tests/broker.rs
@@ -12,6 +12,7 @@
 };
 use reedwalk_gateway::engine::Gate;
 use reedwalk_gateway::figures::Figures;
+use reedwalk_gateway::shutdown::Phase;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -92,7 +93,9 @@
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let figures = Arc::new(Figures::new(&deployment.sockets.classes));
     let (_alone, part) = tokio::sync::watch::channel(Default::default());
-    let shared = Shared { roll: Roll::default(), figures: figures.clone(), part, keys: None, others: None };
+    let (_open, phase) = tokio::sync::watch::channel(Phase::Open);
+    let shared =
+        Shared { roll: Roll::default(), figures: figures.clone(), part, phase, keys: None, others: None };
     let (roll, broker) = (shared.roll.clone(), queue.clone());
     tokio::spawn(
         Broker::new(gateway, engines, &deployment, Beside::default(), shared, broker, log).run(inputs),
