End client connections so that what was answered arrives and what comes later is never acted on

Seen by reading, then by tests on sockets, each seen to fail with its guard taken out (tests/closing.rs, eight): - A session's socket was closed by drop, also over unread bytes (session.rs, `run`): a reset, which can overtake the answer before it. `refuse` read 16 KiB at most, at once (mod.rs). Newcomers that are turned away get 0.2 s, as many at once as a hundredth of the descriptors. - `Session::wait` stopped reading with 16 KiB read ahead, so that a leave behind them went unseen until the answer. Who sends more gets its query failed, and is closed; the query is given up at its engine. - Session numbers started at 1 in each process: at an upgrade a KILL QUERY that reached the other process ended a stranger's query there. They start where the system draws, and are spread over all numbers. - A KILL QUERY that was read before the query that it was meant for (both lay in their sockets) had no effect, and the query was sent on for nobody. The session with the KILL lets all others that have something to read go first. Ruled out by tests that pass before as well: a request that came before the close of an idle session is lost (the system is asked before the close); a request takes on fields of the one before it on its session.

Not covered: with several cores the order of a KILL and its query across cores is open; the client's close half a second later ends it then. A KILL that reaches the other process ends nothing: same remark.

--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -1,5 +1,6 @@
 //! The front on the MySQL client protocol.
 
+mod close;
 pub mod packet;
 mod places;
 mod session;
@@ -16,10 +17,11 @@
 use reedwalk_settings::Deployment;
 use slog::{Logger, info, warn};
 use std::collections::HashMap;
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
 /// Share of the descriptors that client sessions may hold; clients keep to a third, engines take a part.
@@ -27,6 +29,28 @@
 /// Share of the memory for statements that are not small, as they are read and while they run.
 const STATEMENTS_SHARE: f64 = 0.1;
 
+/// Share of the descriptors for newcomers that were turned away and still take in why.
+const TURNED_AWAY_SHARE: f64 = 0.01;
+/// One of them may take so long.
+const TURNED_AWAY_BY: Duration = Duration::from_millis(200);
+
+/// Numbers of connections. Two processes may serve at one address, and a KILL QUERY meant for one reach the other: the
+/// numbers of each are spread over all there are, from a start that the system draws, so that it meets nobody there.
+#[derive(Clone, Copy, Debug)]
+struct Numbers(u32);
+
+impl Numbers {
+    fn new() -> Self {
+        Self(RandomState::new().build_hasher().finish() as u32)
+    }
+
+    /// The next one; never 0, and the same again only after all others.
+    fn next(&mut self) -> u32 {
+        self.0 = self.0.wrapping_add(0x9E37_79B9);
+        if self.0 == 0 { self.next() } else { self.0 }
+    }
+}
+
 /// Running queries by connection id, each with the way to end it.
 #[derive(Debug, Default)]
 struct Running(Mutex<HashMap<u32, oneshot::Sender<()>>>);
@@ -51,6 +75,7 @@
     places: Arc<Places>,
     sessions: usize,
     running: Running,
+    turned_away: Arc<Semaphore>,
     seed: u64,
     cores: Cores,
     log: Logger,
@@ -71,7 +96,9 @@
         let bytes = (limits.memory_mb * STATEMENTS_SHARE * f64::from(1 << 20)) as usize;
         let places = Arc::new(Places::new(sessions, bytes));
         let running = Running::default();
-        Self { desk, deployment, contracts, places, sessions, running, seed, cores, log }
+        let turned_away = (limits.sockets as f64 * TURNED_AWAY_SHARE).max(1.0) as usize;
+        let turned_away = Arc::new(Semaphore::new(turned_away));
+        Self { desk, deployment, contracts, places, sessions, running, turned_away, seed, cores, log }
     }
 
     /// Accepts sessions until the phase tells it to close, as many as this process's part allows. `alive` is held by
@@ -83,7 +110,7 @@
         mut part: watch::Receiver<Part>,
         alive: mpsc::Sender<()>,
     ) {
-        let mut next = 0u32;
+        let mut numbers = Numbers::new();
         let mut told = (Instant::now(), Counts::default());
         part.mark_changed();
         loop {
@@ -104,7 +131,7 @@
                 },
                 () = closing(&mut phase) => break,
             };
-            next = self.enter(stream, next, &phase, &alive);
+            self.enter(stream, numbers.next(), &phase, &alive);
             let now = Instant::now();
             let counts = self.places.counts();
             if counts != told.1 && now - told.0 >= Duration::from_secs(1) {
@@ -119,24 +146,23 @@
         while let Ok((stream, _)) = listener.accept() {
             let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
             if let Ok(stream) = stream {
-                next = self.enter(stream, next, &phase, &alive);
+                self.enter(stream, numbers.next(), &phase, &alive);
             }
         }
     }
 
-    /// Gives a newcomer a session, or turns it away; the last number given.
+    /// Gives a newcomer a session under this number, or turns it away.
     fn enter(
         self: &Arc<Self>,
         stream: TcpStream,
-        last: u32,
+        id: u32,
         phase: &watch::Receiver<Phase>,
         alive: &mpsc::Sender<()>,
-    ) -> u32 {
-        let (now, id) = (Instant::now(), last.wrapping_add(1).max(1));
+    ) {
+        let now = Instant::now();
         let _ = stream.set_nodelay(true);
         let Some(place) = self.places.enter(id, now) else {
-            refuse(&stream);
-            return id;
+            return self.turn_away(stream, now, alive.clone());
         };
         let (front, phase, alive) = (self.clone(), phase.clone(), alive.clone());
         let seat = self.cores.seat();
@@ -146,21 +172,22 @@
                 drop(alive);
             });
         }
-        id
     }
-}
 
-/// Turns a newcomer away. What it has sent is read first: a close over unread bytes would be a reset, which
-/// can overtake the answer.
-fn refuse(stream: &TcpStream) {
-    let mut out = bytes::BytesMut::new();
-    Writer::new(&mut out, 0).error(1040, b"08004", "too many connections, pause=1000");
-    // Fits any fresh socket's buffer; whether it arrives is the client's affair.
-    let _ = stream.try_write(&out);
-    let mut sent = [0; 4096];
-    for _ in 0..4 {
-        if !matches!(stream.try_read(&mut sent), Ok(n) if n > 0) {
-            return;
+    /// Turns a newcomer away. There is time to take in why for as many at once as there is room for; of the others
+    /// what has come is read and no more.
+    fn turn_away(&self, mut stream: TcpStream, now: Instant, alive: mpsc::Sender<()>) {
+        let mut out = bytes::BytesMut::new();
+        Writer::new(&mut out, 0).error(1040, b"08004", "too many connections, pause=1000");
+        // Fits any fresh socket's buffer; whether it arrives is the client's affair.
+        let _ = stream.try_write(&out);
+        if let Ok(permit) = self.turned_away.clone().try_acquire_owned() {
+            tokio::spawn(async move {
+                close::close(&mut stream, now + TURNED_AWAY_BY).await;
+                drop((permit, alive));
+            });
+        } else {
+            close::read_ready(&stream);
         }
     }
 }
--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -1,6 +1,7 @@
 //! One client session: greeting, login, then commands one at a time.
 
 use super::Front;
+use super::close::close;
 use super::packet::{self, BadFraming, Command, Writer};
 use super::places::{Place, Room, Stage};
 use super::statement::{self, BadFields};
@@ -30,8 +31,11 @@
 /// Who judges does so on another core, and may stand still: so long after the deadline, past what the broker
 /// needs to say the same, the session says it itself.
 const UNJUDGED: Duration = Duration::from_millis(15);
-/// Bytes that a client may send ahead while its query runs; the rest stays in the socket.
+/// Bytes that a client may send ahead while its query runs. Behind more, it could not be seen that it has left: who
+/// sends more gets its query failed, and is closed.
 const AHEAD_MOST: usize = 16 * 1024;
+/// A client that was closed may take so long to close as well, before unread bytes of it may reset the connection.
+const CLOSE_BY: Duration = Duration::from_millis(500);
 /// A buffer that has grown beyond this is not kept while its session is idle.
 const KEPT_MOST: usize = 1024;
 
@@ -43,6 +47,8 @@
     Framing(BadFraming),
     /// We close: no login in time, answer not read, or the program ends.
     ByUs,
+    /// Others need its place, at once.
+    MakesRoom,
 }
 
 pub struct Session<'a> {
@@ -65,11 +71,23 @@
     }
 
     pub async fn run(mut self, mut phase: watch::Receiver<Phase>) {
-        if let Err(Closed::Framing(bad)) = self.converse(&mut phase).await {
+        let ended = self.converse(&mut phase).await;
+        if let Err(Closed::Framing(bad)) = &ended {
             Writer::new(&mut self.out, 1).error(1156, b"08S01", &bad.to_string());
             let by = Instant::now() + READ_BY;
             let _ = self.flush(by).await;
         }
+        let by = match ended {
+            Err(Closed::ByClient) => return,
+            // Whose place it is waits for it. It has been silent for long: no answer is on its way.
+            Err(Closed::MakesRoom) => Instant::now(),
+            Ok(()) | Err(Closed::Framing(_) | Closed::ByUs) => Instant::now() + CLOSE_BY,
+        };
+        tokio::select! {
+            biased;
+            () = close(&mut self.stream, by) => {}
+            () = self.place.leave.notified() => {}
+        }
     }
 
     async fn converse(&mut self, phase: &mut watch::Receiver<Phase>) -> Result<(), Closed> {
@@ -88,7 +106,7 @@
             tokio::select! {
                 biased;
                 filled = timeout_at(by, self.fill()) => filled.map_err(|_| Closed::ByUs)??,
-                () = leave.notified() => return Err(Closed::ByUs),
+                () = leave.notified() => return Err(Closed::MakesRoom),
             }
         };
         // The platform's one user, or a team that has a contract here.
@@ -151,7 +169,7 @@
             tokio::select! {
                 biased;
                 filled = self.fill() => filled?,
-                () = leave.notified() => return Err(Closed::ByUs),
+                () = leave.notified() => return Err(Closed::MakesRoom),
                 () = closed_to(phase, stays), if idle => {
                     // The runtime goes by what it was last told of a socket, so the system itself is asked: a
                     // request that has come would be lost with the close.
@@ -169,6 +187,8 @@
     async fn query(&mut self, text: Bytes) -> Result<(), Closed> {
         let now = Instant::now();
         if let Some(target) = statement::kill_query(&text) {
+            // What it is meant for was sent before it, and may lie unread: its session goes first.
+            tokio::task::yield_now().await;
             // Whether it still ran or not, the client learns of it on its own session.
             if let Some(kill) = self.front.running.leave(target) {
                 let _ = kill.send(());
@@ -194,6 +214,9 @@
         };
         let answer = self.wait(&mut ticket, deadline + UNJUDGED).await;
         self.front.running.leave(self.id);
+        if let Err(Closed::Framing(_)) = &answer {
+            ticket.fail(Failure::Engine);
+        }
         match answer? {
             Some(answer) => write_answer(&mut self.out, answer),
             None => Writer::new(&mut self.out, 1).error(1317, b"70100", "query execution was interrupted"),
@@ -206,7 +229,9 @@
         let apart = self.front.cores.several();
         let mut killed = self.front.running.enter(self.id);
         loop {
-            let room = self.input.len() < AHEAD_MOST;
+            if self.input.len() > AHEAD_MOST {
+                return Err(Closed::Framing(BadFraming("too much sent ahead of the answer")));
+            }
             tokio::select! {
                 biased;
                 answer = ticket.answer() => return answer.map(Some).ok_or(Closed::ByUs),
@@ -215,7 +240,7 @@
                     return Ok(None);
                 },
                 () = sleep_until(by), if apart => return Ok(Some(ticket.fail(Failure::Deadline))),
-                read = self.stream.read_buf(&mut self.input), if room => {
+                read = self.stream.read_buf(&mut self.input) => {
                     if !matches!(read, Ok(n) if n > 0) {
                         return Err(Closed::ByClient);
                     }
--- /dev/null
+++ b/gateway/tests/closing.rs
@@ -0,0 +1,170 @@
+//! How client connections end: what is in flight when we close arrives, and what comes after is never acted on.
+
+mod support;
+
+use reedwalk_gateway::config::Config;
+use reedwalk_gateway::operator::Operator;
+use reedwalk_gateway::serve::Running;
+use std::time::Duration;
+use support::mysql::{Client, fields, login, login_as, packet, query};
+use support::{Ended, World, config, gateway, resp, until, with_engines};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+/// More than is read at a time, and than is ever read ahead.
+const MUCH: usize = 100_000;
+
+/// All that still comes until the other side's end; a reset fails the test.
+async fn rest(stream: &mut TcpStream) -> String {
+    let mut rest = Vec::new();
+    let by = Instant::now() + Duration::from_secs(10);
+    timeout_at(by, stream.read_to_end(&mut rest)).await.expect("never closed").expect("reset");
+    String::from_utf8_lossy(&rest).into_owned()
+}
+
+/// Sends this at once on a new connection, and reads to its end.
+async fn sent(gateway: &Running, parts: &[&[u8]]) -> String {
+    let mut stream = TcpStream::connect(gateway.mysql).await.unwrap();
+    stream.write_all(&parts.concat()).await.unwrap();
+    rest(&mut stream).await
+}
+
+#[tokio::test]
+async fn what_was_answered_last_arrives_whatever_was_sent_behind_it() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let (behind, quit) = (vec![0; MUCH], packet(0, &[1]));
+    let denied = sent(&gateway, &[&login_as("nobody"), &behind]).await;
+    assert!(denied.contains("access denied"), "{denied:?}");
+    let unreadable = sent(&gateway, &[&login(), &[1, 0, 0, 9, 3], &behind]).await;
+    assert!(unreadable.contains("08S01"), "{unreadable:?}");
+    let ended = sent(&gateway, &[&login(), &packet(0, &[14]), &quit, &behind]).await;
+    // The login's OK and the ping's.
+    assert_eq!(ended.matches("\u{7}\0\0").count(), 2, "{ended:?}");
+}
+
+#[tokio::test]
+async fn whoever_is_turned_away_learns_of_it_whatever_it_has_sent() {
+    let world = World::default();
+    let engines = [resp::engine("a", world.clone()).await];
+    let mut config = config(&engines);
+    // Places for six, and time to take it in for one at a time that is turned away.
+    config.limits.sockets = 10;
+    let gateway = gateway(config, Operator::default()).await;
+    let mut busy = Vec::new();
+    for n in 0..6 {
+        let mut client = Client::connect(gateway.mysql).await;
+        client.stream_query(&fields("statement", 9000, None, &format!("HANG {n}"))).await;
+        busy.push(client);
+    }
+    let (by, mut refused) = (Instant::now() + Duration::from_secs(10), 0);
+    while refused < 3 {
+        // Until all places are taken it is let in, and can't be read.
+        let told = sent(&gateway, &[&login(), &vec![0; MUCH]]).await;
+        refused += usize::from(told.contains("too many connections, pause="));
+        assert!(Instant::now() < by, "{told:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_crosses_our_close_is_not_sent_on_and_meets_no_reset() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let mut resting = Client::connect(gateway.mysql).await;
+    assert_eq!(resting.ended(&fields("lookup", 3000, None, "SELECT 1")).await, Ended::Served);
+    let closing = tokio::spawn(gateway.close(Instant::now()));
+    // It has our end before it writes; nobody will answer that.
+    assert!(resting.read().await.is_none());
+    resting.stream.write_all(&query(&fields("lookup", 3000, None, "SELECT 2"))).await.unwrap();
+    assert_eq!(rest(&mut resting.stream).await, "");
+    drop(resting);
+    closing.await.unwrap();
+    assert_eq!(world.attempts("SELECT 2"), 0, "read after the close, and sent on");
+}
+
+#[tokio::test]
+async fn a_request_that_came_before_our_close_is_served() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let mut resting = Client::connect(gateway.mysql).await;
+    assert_eq!(resting.ended(&fields("lookup", 3000, None, "SELECT 1")).await, Ended::Served);
+    // Both lie there when the session next runs: it has no turn between these lines.
+    let asked = query(&fields("lookup", 3000, None, "SELECT 2"));
+    assert_eq!(resting.stream.try_write(&asked).unwrap(), asked.len());
+    let closing = tokio::spawn(gateway.close(Instant::now()));
+    assert_eq!(resting.answer().await.unwrap().len(), 600);
+    assert!(resting.read().await.is_none());
+    closing.await.unwrap();
+}
+
+#[tokio::test]
+async fn who_sends_much_ahead_gets_its_query_failed_and_the_query_is_given_up() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    client.stream_query(&fields("statement", 9000, None, "HANG 1")).await;
+    until("the engine has it", || world.attempts("HANG 1") == 1).await;
+    let _ = client.stream.write_all(&vec![7; MUCH]).await;
+    // One answer, and the end.
+    assert_eq!(client.answer().await.unwrap_err().0, 1156);
+    assert!(client.read().await.is_none());
+    until("it is given up", || world.was_given_up("HANG 1")).await;
+}
+
+#[tokio::test]
+async fn a_kill_that_reaches_the_other_process_of_a_front_end_ends_nobody_there() {
+    // Two processes at one address: each has its own sessions, opened in the same order.
+    let world = World::default();
+    let (one, other) = (with_engines(&world).await, with_engines(&world).await);
+    let mut meant = Client::connect(one.mysql).await;
+    let mut stranger = Client::connect(other.mysql).await;
+    stranger.stream_query(&fields("statement", 9000, None, "LATER 1")).await;
+    until("the engine has it", || world.attempts("LATER 1") == 1).await;
+    let mut killer = Client::connect(other.mysql).await;
+    killer.ask(&format!("KILL QUERY {}", meant.id)).await.unwrap();
+    assert_ne!(meant.id, stranger.id);
+    assert_eq!(stranger.answer().await.unwrap().len(), 600, "a stranger's query was ended");
+    assert_eq!(meant.ended(&fields("lookup", 3000, None, "SELECT 1")).await, Ended::Served);
+}
+
+#[tokio::test]
+async fn a_kill_and_its_query_that_lie_there_together_meet_in_either_order() {
+    let world = World::default();
+    let gateway = with_engines(&world).await;
+    for kill_first in [true, false] {
+        let statement = format!("HANG {kill_first}");
+        let (mut client, killer) =
+            (Client::connect(gateway.mysql).await, Client::connect(gateway.mysql).await);
+        let asked = query(&fields("statement", 9000, None, &statement));
+        let kill = query(&format!("KILL QUERY {}", client.id));
+        // The front has no turn between these lines.
+        let (first, second) = if kill_first { (&killer, &client) } else { (&client, &killer) };
+        let (one, two) = if kill_first { (&kill, &asked) } else { (&asked, &kill) };
+        assert_eq!(first.stream.try_write(one).unwrap(), one.len());
+        assert_eq!(second.stream.try_write(two).unwrap(), two.len());
+        assert_eq!(
+            client.answer().await.unwrap_err().0,
+            1317,
+            "killed before it was read, and run all the same"
+        );
+    }
+}
+
+#[tokio::test]
+async fn a_session_gets_nothing_of_what_the_one_before_it_asked_for() {
+    // Fields that are absent in a request are absent, whatever the one before it had on the same session.
+    let world = World::default();
+    let engines = [resp::engine("a", world.clone()).await];
+    let gateway = gateway(Config { ..config(&engines) }, Operator::default()).await;
+    let mut client = Client::connect(gateway.mysql).await;
+    let keyed =
+        "/* route=batch-post,trace=00000000000000aa,patience=3000,nonce=k1,weight=5.0,space=64 */ INSERT 1";
+    client.ask(keyed).await.unwrap();
+    // Without its key it is refused, and not run under the last one.
+    let bare = "/* route=batch-post,trace=00000000000000ab,patience=3000 */ INSERT 2";
+    assert_eq!(client.ended(bare).await, Ended::BadInput);
+    assert_eq!(world.attempts("INSERT 2"), 0);
+    assert_eq!(client.ended("/* trace=00000000000000ac,patience=3000 */ SELECT 1").await, Ended::BadInput);
+    assert_eq!(world.attempts("SELECT 1"), 0, "under the class of the request before");
+}
