--- a/gateway/tests/broker.rs
+++ b/gateway/tests/broker.rs
@@ -8,15 +8,16 @@
 use reedwalk_core::{ClassId, EngineEntry, EngineId, Gateway, Outcome};
 use reedwalk_gateway::broker::{
     Answer, Ask, AttemptKey, Beside, Broker, Desk, End, EngineLinks, Input, Listed, News, Order, QUEUE,
-    Refusal, Roll, Rows, Shared,
+    Refusal, Roll, Rows, Shared, Ticket,
 };
 use reedwalk_gateway::engine::Gate;
 use reedwalk_gateway::figures::Figures;
 use reedwalk_gateway::shutdown::Phase;
+use reedwalk_membership::Part;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// What the engines do with the attempts in turn: an outcome after some milliseconds, or nothing ever.
@@ -84,7 +85,19 @@
     }
 }
 
-async fn play(requests: Vec<(usize, u64, u64)>, deeds: Deeds) {
+/// A broker at work, with no engines listed yet.
+struct Rig {
+    queue: mpsc::Sender<Input>,
+    desk: Desk,
+    roll: Roll,
+    orders: Orders,
+    figures: Arc<Figures>,
+    /// Held so that nothing is said to change.
+    _alone: watch::Sender<Part>,
+    _open: watch::Sender<Phase>,
+}
+
+fn rig(deeds: Deeds) -> Rig {
     let deployment = reedwalk_settings::read(&support::settings()).unwrap();
     let (queue, inputs) = mpsc::channel(QUEUE);
     let orders = Orders::default();
@@ -92,19 +105,30 @@
     let gateway = Gateway::new(deployment.core.clone(), 7).unwrap();
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let figures = Arc::new(Figures::new(&deployment.sockets.classes));
-    let (_alone, part) = tokio::sync::watch::channel(Default::default());
-    let (_open, phase) = tokio::sync::watch::channel(Phase::Open);
+    let (_alone, part) = watch::channel(Part::default());
+    let (_open, phase) = watch::channel(Phase::Open);
     let shared =
         Shared { roll: Roll::default(), figures: figures.clone(), part, phase, keys: None, others: None };
     let (roll, broker) = (shared.roll.clone(), queue.clone());
     tokio::spawn(
         Broker::new(gateway, engines, &deployment, Beside::default(), shared, broker, log).run(inputs),
     );
+    let desk = Desk::new(queue.clone(), figures.clone());
+    Rig { queue, desk, roll, orders, figures, _alone, _open }
+}
+
+/// Three engines in service.
+fn list(roll: &Roll) {
     let listed =
         (1..=3).map(|n| Listed { entry: EngineEntry::new(EngineId(n)), address: ([127, 0, 0, 1], 1).into() });
     let listed = listed.map(|l| (l, Gate::default()));
     roll.write(listed);
-    let (desk, start) = (Desk::new(queue, figures.clone()), Instant::now());
+}
+
+async fn play(requests: Vec<(usize, u64, u64)>, deeds: Deeds) {
+    let rig = rig(deeds);
+    list(&rig.roll);
+    let (desk, figures, orders, start) = (&rig.desk, &rig.figures, &rig.orders, Instant::now());
     let waits = requests.into_iter().enumerate().map(|(n, (class, at, patience))| {
         let desk = desk.clone();
         tokio::spawn(async move {
@@ -157,3 +181,41 @@
     let refused = desk.ask(ask(2, 0, Instant::now())).unwrap_err();
     assert!(matches!(refused, Answer::Refused { why: Refusal::Shed, retry_after: Some(_) }));
 }
+
+/// Two requests are held with no engine to go to, and the first one's client leaves while there is no room for the word.
+async fn left_unheard_of() -> (Rig, Ticket, Instant) {
+    let rig = rig(vec![(0, 10)]);
+    let deadline = Instant::now() + Duration::from_secs(3);
+    let left = rig.desk.ask(ask(1, 0, deadline)).unwrap();
+    let stays = rig.desk.ask(ask(2, 0, deadline)).unwrap();
+    sleep(Duration::from_millis(20)).await;
+    // The broker has no turn between these lines.
+    while rig.queue.try_send(Input::Living(1.0)).is_ok() {}
+    drop(left);
+    (rig, stays, deadline)
+}
+
+fn traces(rig: &Rig) -> Vec<Bytes> {
+    rig.orders.lock().unwrap().iter().map(|o| o.0.trace.clone()).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_client_that_leaves_while_the_queue_is_full_is_noticed_all_the_same() {
+    let (rig, mut stays, deadline) = left_unheard_of().await;
+    // Well before the module gives up waiting for an engine.
+    sleep(Duration::from_millis(100)).await;
+    // Nothing holds on to it: its id may be used again.
+    let mut again = rig.desk.ask(ask(1, 0, deadline)).unwrap();
+    list(&rig.roll);
+    assert!(matches!(stays.answer().await, Some(Answer::Served(_))), "held for the one that stays");
+    assert!(matches!(again.answer().await, Some(Answer::Served(_))), "its id was held for one that had left");
+    assert_eq!(traces(&rig).len(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_sent_for_it_in_the_moment_before_that_either() {
+    let (rig, mut stays, _) = left_unheard_of().await;
+    list(&rig.roll);
+    assert!(matches!(stays.answer().await, Some(Answer::Served(_))));
+    assert_eq!(traces(&rig), [Bytes::from(format!("{:016x}", 2))]);
+}
