Take in what lies in the Flight listener's queue at the close, as the MySQL front does

Seen by reading: `front/flight/mod.rs`, `serve` returned at the close and dropped its listener, and connections that the system had accepted for it were reset; the MySQL front has taken those in since the handover of two processes. What one front guards against, all do.

Change: both use `front::accepted_already`. A Flight call on such a connection is served, or gets GOAWAY with NO_ERROR, which says that nothing of it was begun; which of the two depends on whether it came before the answer to our ping.

Test: 16 connections to each front lie in its queue as the close begins (closing.rs); seen to fail with the Flight half taken out.

--- a/gateway/src/front/flight/mod.rs
+++ b/gateway/src/front/flight/mod.rs
@@ -7,6 +7,7 @@
 
 use crate::broker::Desk;
 use crate::cores::Cores;
+use crate::front::accepted_already;
 use crate::operator::FlightFront;
 use crate::shutdown::{Phase, closing};
 use arrow_flight::flight_service_server::FlightServiceServer;
@@ -41,6 +42,19 @@
 ) {
     let service = FlightServiceServer::new(service).max_decoding_message_size(front.message_most);
     let open = Arc::new(AtomicUsize::new(0));
+    let enter = |stream: TcpStream, phase: watch::Receiver<Phase>| {
+        if open.load(Ordering::Relaxed) >= front.connections {
+            return;
+        }
+        let (service, alive, log) = (service.clone(), alive.clone(), log.clone());
+        let seat = cores.seat();
+        let Ok(stream) = seat.bring(stream) else { return };
+        let place = Place::take(&open);
+        seat.spawn(async move {
+            connection(stream, service, phase, log).await;
+            drop((place, alive));
+        });
+    };
     loop {
         let stream = tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -51,21 +65,11 @@
                     continue;
                 }
             },
-            () = closing(&mut phase) => return,
+            () = closing(&mut phase) => break,
         };
-        if open.load(Ordering::Relaxed) >= front.connections {
-            continue;
-        }
-        let (service, phase, alive) = (service.clone(), phase.clone(), alive.clone());
-        let log = log.clone();
-        let seat = cores.seat();
-        let Ok(stream) = seat.bring(stream) else { continue };
-        let place = Place::take(&open);
-        seat.spawn(async move {
-            connection(stream, service, phase, log).await;
-            drop((place, alive));
-        });
+        enter(stream, phase.clone());
     }
+    accepted_already(listener).for_each(|stream| enter(stream, phase.clone()));
 }
 
 /// One of the connections that the front may hold, until it is dropped.
--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -10,6 +10,7 @@
 use crate::config::Limits;
 use crate::contracts::Contracts;
 use crate::cores::Cores;
+use crate::front::accepted_already;
 use crate::shutdown::{Phase, closing};
 use packet::Writer;
 use places::{Counts, Places};
@@ -141,13 +142,8 @@
             // Who was told to make room does so before the next one comes in.
             tokio::task::yield_now().await;
         }
-        // What the system has taken for us is ours: closed now, it would be reset.
-        let Ok(listener) = listener.into_std() else { return };
-        while let Ok((stream, _)) = listener.accept() {
-            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-            if let Ok(stream) = stream {
-                self.enter(stream, numbers.next(), &phase, &alive);
-            }
+        for stream in accepted_already(listener) {
+            self.enter(stream, numbers.next(), &phase, &alive);
         }
     }
 
--- a/gateway/tests/closing.rs
+++ b/gateway/tests/closing.rs
@@ -2,12 +2,14 @@
 
 mod support;
 
+use futures::future::join_all;
 use reedwalk_gateway::config::Config;
-use reedwalk_gateway::operator::Operator;
+use reedwalk_gateway::operator::{EngineWire, Operator};
 use reedwalk_gateway::serve::Running;
+use std::net::SocketAddr;
 use std::time::Duration;
 use support::mysql::{Client, fields, login, login_as, packet, query};
-use support::{Ended, World, config, gateway, resp, until, with_engines};
+use support::{Ended, World, both_fronts, config, flight, gateway, resp, until, with_engines};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
@@ -168,3 +170,33 @@
     assert_eq!(client.ended("/* trace=00000000000000ac,patience=3000 */ SELECT 1").await, Ended::BadInput);
     assert_eq!(world.attempts("SELECT 1"), 0, "under the class of the request before");
 }
+
+#[tokio::test]
+async fn what_the_system_has_accepted_for_either_front_is_served_at_the_close() {
+    let world = World::default();
+    let engines = [resp::engine("a", world.clone()).await];
+    let gateway = gateway(config(&engines), both_fronts(EngineWire::Resp)).await;
+    // They lie in the listeners' queues: the fronts have no turn until the close has begun, and take in one a turn.
+    let connect = |address: SocketAddr| {
+        let stream = std::net::TcpStream::connect(address).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        TcpStream::from_std(stream).unwrap()
+    };
+    let flight: Vec<_> = (0..16).map(|_| connect(gateway.flight.unwrap())).collect();
+    let mysql: Vec<_> = (0..16).map(|_| connect(gateway.mysql)).collect();
+    let closing = tokio::spawn(gateway.close(Instant::now()));
+    let flight = flight.into_iter().enumerate().map(|(n, stream)| async move {
+        let client = flight::Client::over(stream).await.of("batch-post", Some("k"));
+        client.update(&format!("INSERT {n}")).await.map_err(|status| status.to_string())
+    });
+    let mysql = mysql.into_iter().enumerate().map(|(n, stream)| async move {
+        let mut client = Client::login(stream, "app").await.expect("no session");
+        client.ended(&fields("lookup", 3000, None, &format!("SELECT {n}"))).await
+    });
+    let (flight, mysql) = tokio::join!(join_all(flight), join_all(mysql));
+    // Served, or told in so many words that it was not begun; never reset.
+    let honest = |end: &Result<i64, String>| end.as_ref().err().is_none_or(|e| e.contains("NO_ERROR"));
+    assert!(flight.iter().all(honest) && flight.iter().any(Result::is_ok), "{flight:?}");
+    assert!(mysql.iter().all(|ended| *ended == Ended::Served), "{mysql:?}");
+    closing.await.unwrap();
+}
--- a/standins/src/flight.rs
+++ b/standins/src/flight.rs
@@ -172,7 +172,11 @@
 
 impl Client {
     pub async fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).await.unwrap();
+        Self::over(TcpStream::connect(address).await.unwrap()).await
+    }
+
+    /// A client on a connection that stands.
+    pub async fn over(stream: TcpStream) -> Self {
         stream.set_nodelay(true).unwrap();
         let (send, connection) =
             hyper::client::conn::http2::handshake(TokioExecutor::new(), TokioIo::new(stream)).await.unwrap();
