Rename the desk to intake, a pool's lines to connections and let go to evicted, in the code touched

Need: words of our own hid standard terms. `broker::Desk` is `Intake` (file and docs too), `Line` in the pool and in the Flight links is `Connection`, the log's and the counter's "let go" of a session is "evicted". Left in code that was not touched or only in passing: roll, gate, place, kept, beat, findings.

--- a/gateway/src/broker/desk.rs
+++ b/gateway/src/broker/intake.rs
@@ -14,7 +14,7 @@
 
 /// A front's way to the broker; cheap to clone.
 #[derive(Clone, Debug)]
-pub struct Desk {
+pub struct Intake {
     queue: mpsc::Sender<Input>,
     figures: Arc<Figures>,
     next: Arc<AtomicU64>,
@@ -31,8 +31,8 @@
     answered: bool,
 }
 
-impl Desk {
-    /// A desk in front of the broker's queue that counts what is handed in.
+impl Intake {
+    /// An intake in front of the broker's queue that counts what is handed in.
     pub fn new(queue: mpsc::Sender<Input>, figures: Arc<Figures>) -> Self {
         Self { queue, figures, next: Arc::default() }
     }
@@ -42,7 +42,7 @@
         self.figures.take(class).end(ending);
     }
 
-    /// A number that this desk has not given before, spread over all values: an id for a request without one.
+    /// A number that this intake has not given before, spread over all values: an id for a request without one.
     pub fn fresh(&self) -> u64 {
         let n = self.next.fetch_add(1, Ordering::Relaxed).wrapping_add(1);
         n.wrapping_mul(0x9E37_79B9_7F4A_7C15)
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -3,14 +3,14 @@
 //! requests and attempts. A request's reply channel is taken out of its table to answer it, so there is one
 //! final answer and never a second.
 
-mod desk;
 mod groups;
+mod intake;
 pub mod kept;
 mod keys;
 mod message;
 mod roll;
 
-pub use desk::{Desk, Ticket};
+pub use intake::{Intake, Ticket};
 pub use message::*;
 pub use roll::Roll;
 
--- a/gateway/src/engine/flight/mod.rs
+++ b/gateway/src/engine/flight/mod.rs
@@ -22,13 +22,13 @@
 use tonic::transport::{Channel, Endpoint, Uri};
 
 /// A channel, and the core that it lives on.
-struct Line {
+struct Connection {
     channel: Channel,
     seat: Seat,
 }
 
 // A channel that breaks connects again by itself.
-impl Handle for Line {
+impl Handle for Connection {
     fn closed(&self) -> bool {
         false
     }
@@ -36,7 +36,7 @@
 
 /// All links of this front end to its engines.
 pub struct Links {
-    pool: Pool<Line>,
+    pool: Pool<Connection>,
     tasks: HashMap<AttemptKey, AbortHandle>,
     sockets: Arc<Sockets>,
     queue: mpsc::Sender<Input>,
@@ -95,15 +95,15 @@
             let seat = cores.seat();
             // The channel's own task is started with it.
             let channel = seat.within(|| channel(address, heard, gate.clone(), within));
-            Line { channel, seat }
+            Connection { channel, seat }
         });
-        let Some((line, heard, gate)) = picked else { return false };
+        let Some((connection, heard, gate)) = picked else { return false };
         let class = self.sockets.classes.get(order.class.0).cloned().unwrap_or_default();
         let key = order.key;
-        let (channel, figures) = (line.channel.clone(), self.figures.clone());
+        let (channel, figures) = (connection.channel.clone(), self.figures.clone());
         let call = call::Call::new(channel, heard.clone(), gate.clone(), order, class, figures);
         let queue = self.queue.clone();
-        let task = line.seat.spawn(async move { call.run(queue).await });
+        let task = connection.seat.spawn(async move { call.run(queue).await });
         self.tasks.insert(key, task);
         true
     }
--- a/gateway/src/engine/pool.rs
+++ b/gateway/src/engine/pool.rs
@@ -63,7 +63,7 @@
     fn closed(&self) -> bool;
 }
 
-struct Line<C> {
+struct Connection<C> {
     handle: C,
     peer: SocketAddr,
     /// The stay in service that it was opened in; it serves no other.
@@ -81,7 +81,7 @@
 struct Engine<C> {
     address: Option<SocketAddr>,
     gate: Gate,
-    lines: HashMap<u64, Line<C>>,
+    connections: HashMap<u64, Connection<C>>,
 }
 
 /// All connections to all engines.
@@ -95,7 +95,7 @@
     notes: Option<Duration>,
 }
 
-impl<C> Line<C> {
+impl<C> Connection<C> {
     /// Is it a connection to this address, of this stay in service?
     fn serves(&self, address: Option<SocketAddr>, gate: &Gate) -> bool {
         address == Some(self.peer) && self.gate.same(gate)
@@ -116,7 +116,7 @@
     }
 }
 
-impl<C: Handle> Line<C> {
+impl<C: Handle> Connection<C> {
     fn takes(&mut self, trace: &Bytes, sockets: &Sockets, notes: Option<Duration>, now: Instant) -> bool {
         self.spent.retain(|s| s.0 > now);
         while self.answered.front().is_some_and(|a| a.0 + ANSWERED_FOR <= now) {
@@ -153,7 +153,7 @@
 
     /// Takes in where an engine listens, and its gate; `None` when it is gone.
     pub fn place(&mut self, id: EngineId, place: Option<(SocketAddr, Gate)>) {
-        let none = || Engine { address: None, gate: Gate::default(), lines: HashMap::new() };
+        let none = || Engine { address: None, gate: Gate::default(), connections: HashMap::new() };
         let engine = self.engines.entry(id).or_insert_with(none);
         let address = place.as_ref().map(|p| p.0);
         if let Some((_, gate)) = place {
@@ -162,8 +162,8 @@
         engine.address = address;
         // What is out on the old connections may still be answered there; new attempts go elsewhere.
         let (gate, now) = (&engine.gate, Instant::now());
-        engine.lines.retain(|_, l| !l.open.is_empty() || l.serves(address, gate) && gate.open(now));
-        if address.is_none() && engine.lines.is_empty() {
+        engine.connections.retain(|_, l| !l.open.is_empty() || l.serves(address, gate) && gate.open(now));
+        if address.is_none() && engine.connections.is_empty() {
             self.engines.remove(&id);
         }
     }
@@ -175,20 +175,20 @@
         now: Instant,
         open: impl FnOnce(SocketAddr, Arc<Heard>, &Gate) -> C,
     ) -> Option<(&C, &Arc<Heard>, &Gate)> {
-        let all: usize = self.engines.values().map(|e| e.lines.len()).sum();
+        let all: usize = self.engines.values().map(|e| e.connections.len()).sum();
         let engine = self.engines.get_mut(&order.engine)?;
         let address = engine.address?;
         let (sockets, notes) = (&self.sockets, self.notes);
-        // Connections with nothing out that are idle or silent are let go here: dropping the handle closes them.
-        let kept = |l: &Line<C>| !l.handle.closed() && !l.idle(sockets, now) && !l.silent(notes, now);
-        engine.lines.retain(|_, l| !l.open.is_empty() || kept(l));
+        // Connections with nothing out that are idle or silent are closed here: dropping the handle closes them.
+        let kept = |l: &Connection<C>| !l.handle.closed() && !l.idle(sockets, now) && !l.silent(notes, now);
+        engine.connections.retain(|_, l| !l.open.is_empty() || kept(l));
         let gate = &engine.gate;
-        let usable = engine.lines.iter_mut().filter(|l| l.1.serves(Some(address), gate));
+        let usable = engine.connections.iter_mut().filter(|l| l.1.serves(Some(address), gate));
         let fullest = usable
             .filter_map(|(n, l)| l.takes(&order.trace, sockets, notes, now).then_some((l.open.len(), *n)));
         let number = match fullest.max() {
             Some((_, number)) => number,
-            None if within(engine.lines.len(), CONNECTIONS_MOST, self.share)
+            None if within(engine.connections.len(), CONNECTIONS_MOST, self.share)
                 && within(all, self.connections_most, self.share) =>
             {
                 let heard = Arc::new(Heard::new(now));
@@ -196,50 +196,53 @@
                 let (open, spent, answered) = (HashMap::new(), VecDeque::new(), VecDeque::new());
                 self.next += 1;
                 let gate = engine.gate.clone();
-                let line = Line { handle, peer: address, gate, open, spent, answered, heard, used: now };
-                engine.lines.insert(self.next, line);
+                let connection =
+                    Connection { handle, peer: address, gate, open, spent, answered, heard, used: now };
+                engine.connections.insert(self.next, connection);
                 self.next
             }
             None => return None,
         };
-        let line = engine.lines.get_mut(&number)?;
-        if line.open.is_empty() {
-            line.used = now;
+        let connection = engine.connections.get_mut(&number)?;
+        if connection.open.is_empty() {
+            connection.used = now;
         }
-        line.open.insert(order.key, (order.trace.clone(), order.deadline));
+        connection.open.insert(order.key, (order.trace.clone(), order.deadline));
         self.attempts.insert(order.key, (order.engine, number));
-        Some((&line.handle, &line.heard, &engine.gate))
+        Some((&connection.handle, &connection.heard, &engine.gate))
     }
 
     /// The connection that an attempt is out on.
     pub fn find(&self, key: AttemptKey) -> Option<&C> {
         let (engine, number) = self.attempts.get(&key)?;
-        Some(&self.engines.get(engine)?.lines.get(number)?.handle)
+        Some(&self.engines.get(engine)?.connections.get(number)?.handle)
     }
 
     /// An attempt is out no more. One that was given up casts doubt on its connection until it is heard again.
     pub fn release(&mut self, key: AttemptKey, given_up: bool) {
         let Some((id, number)) = self.attempts.remove(&key) else { return };
         let Some(engine) = self.engines.get_mut(&id) else { return };
-        if let Some(line) = engine.lines.get_mut(&number)
-            && let Some((trace, deadline)) = line.open.remove(&key)
+        if let Some(connection) = engine.connections.get_mut(&number)
+            && let Some((trace, deadline)) = connection.open.remove(&key)
         {
             let now = Instant::now();
             if given_up {
-                line.heard.suspect.store(true, Ordering::Relaxed);
-                line.spent.push_back((deadline.max(now) + SPENT_FOR, trace));
+                connection.heard.suspect.store(true, Ordering::Relaxed);
+                connection.spent.push_back((deadline.max(now) + SPENT_FOR, trace));
             } else {
-                line.used = now;
-                line.answered.push_back((now, trace));
-                if line.answered.len() > ANSWERED_MOST {
-                    line.answered.pop_front();
+                connection.used = now;
+                connection.answered.push_back((now, trace));
+                if connection.answered.len() > ANSWERED_MOST {
+                    connection.answered.pop_front();
                 }
             }
-            if line.open.is_empty() && (line.handle.closed() || !line.serves(engine.address, &engine.gate)) {
-                engine.lines.remove(&number);
+            if connection.open.is_empty()
+                && (connection.handle.closed() || !connection.serves(engine.address, &engine.gate))
+            {
+                engine.connections.remove(&number);
             }
         }
-        if engine.address.is_none() && engine.lines.is_empty() {
+        if engine.address.is_none() && engine.connections.is_empty() {
             self.engines.remove(&id);
         }
     }
--- a/gateway/src/engine/pool/tests.rs
+++ b/gateway/src/engine/pool/tests.rs
@@ -125,7 +125,7 @@
 
 /// The connection of an attempt brings something.
 fn heard(pool: &Pool<Fake>) {
-    pool.engines[&ENGINE].lines.values().for_each(|l| l.heard.now());
+    pool.engines[&ENGINE].connections.values().for_each(|l| l.heard.now());
 }
 
 #[test]
@@ -164,7 +164,7 @@
         assert_eq!(pick(&mut pool, key, &format!("c{key}"), now), (true, 2));
         pool.release(AttemptKey(key), false);
     }
-    assert!(pool.engines[&ENGINE].lines.values().all(|l| l.answered.len() <= ANSWERED_MOST));
+    assert!(pool.engines[&ENGINE].connections.values().all(|l| l.answered.len() <= ANSWERED_MOST));
 }
 
 #[test]
--- a/gateway/src/engine/resp/connection.rs
+++ b/gateway/src/engine/resp/connection.rs
@@ -103,7 +103,7 @@
         }
     }
 
-    /// Connects by `by`, then serves until the links let go of it or the connection breaks.
+    /// Connects by `by`, then serves until the links drop it or the connection breaks.
     pub async fn run(mut self, by: Instant) {
         let over = match self.connect(by).await {
             Some(mut stream) => {
--- a/gateway/src/front/flight/mod.rs
+++ b/gateway/src/front/flight/mod.rs
@@ -5,7 +5,7 @@
 mod service;
 mod ticket;
 
-use crate::broker::Desk;
+use crate::broker::Intake;
 use crate::cores::Cores;
 use crate::front::accepted_already;
 use crate::operator::FlightFront;
@@ -115,8 +115,8 @@
 }
 
 impl Service {
-    /// A service that hands its requests in at `desk`.
-    pub fn new(desk: Desk, deployment: Arc<Deployment>, seed: u64) -> Self {
-        Self { desk, deployment, tickets: Arc::new(ticket::Tickets::new(seed)) }
+    /// A service that hands its requests in at `intake`.
+    pub fn new(intake: Intake, deployment: Arc<Deployment>, seed: u64) -> Self {
+        Self { intake, deployment, tickets: Arc::new(ticket::Tickets::new(seed)) }
     }
 }
--- a/gateway/src/front/flight/service.rs
+++ b/gateway/src/front/flight/service.rs
@@ -2,7 +2,7 @@
 
 use super::result;
 use super::ticket::{Statement, Tickets};
-use crate::broker::{Answer, Ask, Desk, Refusal, Rows};
+use crate::broker::{Answer, Ask, Intake, Refusal, Rows};
 use crate::figures::Ending;
 use crate::flight_meta as meta;
 use crate::front::mysql::statement::group;
@@ -46,7 +46,7 @@
 /// The front's service; one for all connections.
 #[derive(Clone, Debug)]
 pub struct Service {
-    pub(super) desk: Desk,
+    pub(super) intake: Intake,
     pub(super) deployment: Arc<Deployment>,
     pub(super) tickets: Arc<Tickets>,
 }
@@ -105,7 +105,7 @@
             None => self.deployment.core.classes[header.class.0].deadline,
         };
         let longest = self.deployment.core.classes[header.class.0].deadline;
-        let trace = header.trace.unwrap_or_else(|| format!("{:016x}", self.desk.fresh()));
+        let trace = header.trace.unwrap_or_else(|| format!("{:016x}", self.intake.fresh()));
         let ask = Ask {
             trace: trace.into(),
             class: header.class,
@@ -119,7 +119,7 @@
             update,
             statement: text.into(),
         };
-        let answer = match self.desk.ask(ask) {
+        let answer = match self.intake.ask(ask) {
             Ok(mut ticket) => ticket.answer().await,
             Err(refused) => Some(refused),
         };
@@ -148,7 +148,7 @@
         let class = statement.header.class;
         let handle = self.tickets.keep(statement, Instant::now());
         let handle = handle.ok_or_else(|| {
-            self.desk.turned_away(class, Ending::Rejected);
+            self.intake.turned_away(class, Ending::Rejected);
             result::refused(Refusal::Shed, Some(TICKET_RETRY))
         })?;
         let ticket = TicketStatementQuery { statement_handle: Bytes::copy_from_slice(&handle) };
--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -6,7 +6,7 @@
 mod session;
 pub mod statement;
 
-use crate::broker::Desk;
+use crate::broker::Intake;
 use crate::config::Limits;
 use crate::contracts::Contracts;
 use crate::cores::Cores;
@@ -70,7 +70,7 @@
 
 /// What all sessions share.
 pub struct Front {
-    desk: Desk,
+    intake: Intake,
     deployment: Arc<Deployment>,
     contracts: Option<Arc<Contracts>>,
     places: Arc<Places>,
@@ -83,9 +83,9 @@
 }
 
 impl Front {
-    /// A front that hands its requests in at `desk` and keeps to these limits.
+    /// A front that hands its requests in at `intake` and keeps to these limits.
     pub fn new(
-        desk: Desk,
+        intake: Intake,
         deployment: Arc<Deployment>,
         contracts: Option<Arc<Contracts>>,
         limits: &Limits,
@@ -99,7 +99,7 @@
         let running = Running::default();
         let turned_away = (limits.sockets as f64 * TURNED_AWAY_SHARE).max(1.0) as usize;
         let turned_away = Arc::new(Semaphore::new(turned_away));
-        Self { desk, deployment, contracts, places, sessions, running, turned_away, seed, cores, log }
+        Self { intake, deployment, contracts, places, sessions, running, turned_away, seed, cores, log }
     }
 
     /// Accepts sessions until the phase tells it to close, as many as this process's part allows. `alive` is held by
@@ -137,7 +137,7 @@
             let counts = self.places.counts();
             if counts != told.1 && now - told.0 >= Duration::from_secs(1) {
                 told = (now, counts);
-                info!(self.log, "places"; "refused" => counts.refused, "let go" => counts.let_go);
+                info!(self.log, "places"; "refused" => counts.refused, "evicted" => counts.evicted);
             }
             // Who was told to make room does so before the next one comes in.
             tokio::task::yield_now().await;
--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -26,7 +26,7 @@
 const LOGIN_MOST: usize = 4 * 1024;
 /// A later message must be whole this long after its first byte.
 const WHOLE_BY: Duration = Duration::from_millis(2700);
-/// A client that does not read its answer is let go this long after its deadline.
+/// A client that does not read its answer is closed this long after its deadline.
 const READ_BY: Duration = Duration::from_secs(2);
 /// Who judges does so on another core, and may stand still: so long after the deadline, past what the broker
 /// needs to say the same, the session says it itself.
@@ -205,7 +205,7 @@
         };
         self.asked = true;
         let deadline = ask.deadline;
-        let mut ticket = match self.front.desk.ask(ask) {
+        let mut ticket = match self.front.intake.ask(ask) {
             Ok(ticket) => ticket,
             Err(refused) => {
                 write_answer(&mut self.out, refused);
@@ -259,7 +259,7 @@
         let keyed = matches!(self.front.deployment.core.classes[class].effect, Effect::Keyed { .. });
         if keyed && fields.nonce.is_none() {
             // Without its key a repeat would have a second effect.
-            self.front.desk.turned_away(ClassId(class), Ending::Failed);
+            self.front.intake.turned_away(ClassId(class), Ending::Failed);
             return Err(BadFields::Absent("nonce"));
         }
         let patience = Duration::from_millis(fields.patience_ms);
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -1,7 +1,7 @@
 //! Puts the parts together and runs them.
 
 use crate::broker::kept::Keeping;
-use crate::broker::{Beside, Broker, Desk, EngineLinks, Others, QUEUE, Roll, Shared};
+use crate::broker::{Beside, Broker, EngineLinks, Intake, Others, QUEUE, Roll, Shared};
 use crate::config::{Config, ConfigError, Limits};
 use crate::console::{Console, Health};
 use crate::contracts::{BadContract, Contracts};
@@ -285,7 +285,7 @@
     let (lost, losses) = mpsc::channel(1);
     tokio::spawn(cores.clone().watch(lost, log.new(o!("part" => "cores"))));
     tokio::spawn(names::watch(sources, members, config.seed, log.new(o!("part" => "names"))));
-    let desk = Desk::new(queue, figures);
+    let intake = Intake::new(queue, figures);
     let (alive, ended) = mpsc::channel(1);
     if second {
         // The other halves its connections first.
@@ -296,7 +296,7 @@
     let flight = match operator.flight {
         Some(front) => {
             let (listener, address) = listen(front.listen, shares)?;
-            let service = Service::new(desk.clone(), deployment.clone(), config.seed);
+            let service = Service::new(intake.clone(), deployment.clone(), config.seed);
             let log = log.new(o!("part" => "flight"));
             let (phases, alive) = (phases.clone(), alive.clone());
             tokio::spawn(front::flight::serve(listener, service, front, cores.clone(), phases, alive, log));
@@ -305,7 +305,7 @@
         None => None,
     };
     let front = Front::new(
-        desk,
+        intake,
         deployment.clone(),
         contracts,
         &config.limits,
--- a/gateway/tests/broker.rs
+++ b/gateway/tests/broker.rs
@@ -7,7 +7,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use reedwalk_core::{ClassId, EngineEntry, EngineId, Gateway, Outcome};
 use reedwalk_gateway::broker::{
-    Answer, Ask, AttemptKey, Beside, Broker, Desk, End, EngineLinks, Failure, Input, Listed, News, Order,
+    Answer, Ask, AttemptKey, Beside, Broker, End, EngineLinks, Failure, Input, Intake, Listed, News, Order,
     QUEUE, Refusal, Roll, Rows, Shared, Ticket,
 };
 use reedwalk_gateway::engine::Gate;
@@ -94,7 +94,7 @@
 /// A broker at work, with no engines listed yet.
 struct Rig {
     queue: mpsc::Sender<Input>,
-    desk: Desk,
+    intake: Intake,
     roll: Roll,
     orders: Orders,
     figures: Arc<Figures>,
@@ -123,8 +123,8 @@
     tokio::spawn(
         Broker::new(gateway, engines, &deployment, Beside::default(), shared, broker, log).run(inputs),
     );
-    let desk = Desk::new(queue.clone(), figures.clone());
-    Rig { queue, desk, roll, orders, figures, _alone, _open }
+    let intake = Intake::new(queue.clone(), figures.clone());
+    Rig { queue, intake, roll, orders, figures, _alone, _open }
 }
 
 /// Three engines in service.
@@ -138,14 +138,14 @@
 async fn play(requests: Vec<(usize, u64, u64)>, deeds: Deeds) {
     let rig = rig(deeds);
     list(&rig.roll);
-    let (desk, figures, orders, start) = (&rig.desk, &rig.figures, &rig.orders, Instant::now());
+    let (intake, figures, orders, start) = (&rig.intake, &rig.figures, &rig.orders, Instant::now());
     let waits = requests.into_iter().enumerate().map(|(n, (class, at, patience))| {
-        let desk = desk.clone();
+        let intake = intake.clone();
         tokio::spawn(async move {
             let arrives = start + Duration::from_millis(at);
             sleep_until(arrives).await;
             let deadline = arrives + Duration::from_millis(patience);
-            let mut ticket = desk.ask(ask(n, class, deadline)).unwrap();
+            let mut ticket = intake.ask(ask(n, class, deadline)).unwrap();
             assert!(ticket.answer().await.is_some(), "the broker has ended");
             // The rule's slack is 20 ms; the clock of this test stands still while anything runs.
             assert!(Instant::now() <= deadline + Duration::from_millis(20), "request {n} was answered late");
@@ -186,9 +186,9 @@
 #[tokio::test]
 async fn a_full_queue_refuses_at_once_and_says_when_to_come_back() {
     let (queue, _inputs) = mpsc::channel(1);
-    let desk = Desk::new(queue, Arc::default());
-    let _first = desk.ask(ask(1, 0, Instant::now())).unwrap();
-    let refused = desk.ask(ask(2, 0, Instant::now())).unwrap_err();
+    let intake = Intake::new(queue, Arc::default());
+    let _first = intake.ask(ask(1, 0, Instant::now())).unwrap();
+    let refused = intake.ask(ask(2, 0, Instant::now())).unwrap_err();
     assert!(matches!(refused, Answer::Refused { why: Refusal::Shed, retry_after: Some(_) }));
 }
 
@@ -196,8 +196,8 @@
 async fn left_unheard_of() -> (Rig, Ticket, Instant) {
     let rig = rig(vec![(0, 10)]);
     let deadline = Instant::now() + Duration::from_secs(3);
-    let left = rig.desk.ask(ask(1, 0, deadline)).unwrap();
-    let stays = rig.desk.ask(ask(2, 0, deadline)).unwrap();
+    let left = rig.intake.ask(ask(1, 0, deadline)).unwrap();
+    let stays = rig.intake.ask(ask(2, 0, deadline)).unwrap();
     sleep(Duration::from_millis(20)).await;
     // The broker has no turn between these lines.
     while rig.queue.try_send(Input::Living(1.0)).is_ok() {}
@@ -215,7 +215,7 @@
     // Well before the module gives up waiting for an engine.
     sleep(Duration::from_millis(100)).await;
     // Nothing holds on to it: its id may be used again.
-    let mut again = rig.desk.ask(ask(1, 0, deadline)).unwrap();
+    let mut again = rig.intake.ask(ask(1, 0, deadline)).unwrap();
     list(&rig.roll);
     assert!(matches!(stays.answer().await, Some(Answer::Served(_))), "held for the one that stays");
     assert!(matches!(again.answer().await, Some(Answer::Served(_))), "its id was held for one that had left");
@@ -240,7 +240,7 @@
         let rig = start(vec![(9, 0), (0, 10)], &settings, Some(stopped.clone()));
         list(&rig.roll);
         let deadline = Instant::now() + Duration::from_secs(6);
-        let mut ticket = rig.desk.ask(ask(1, 0, deadline)).unwrap();
+        let mut ticket = rig.intake.ask(ask(1, 0, deadline)).unwrap();
         while stopped.lock().unwrap().is_empty() {
             assert!(Instant::now() < deadline, "never called off");
             sleep(Duration::from_millis(5)).await;
@@ -260,13 +260,13 @@
     let rig = start(vec![(9, 0)], &support::settings(), Some(stopped));
     list(&rig.roll);
     let deadline = Instant::now() + Duration::from_secs(4);
-    let mut ticket = rig.desk.ask(ask(1, 0, deadline)).unwrap();
+    let mut ticket = rig.intake.ask(ask(1, 0, deadline)).unwrap();
     assert!(ticket.answer().await.is_some());
     assert!(Instant::now() <= deadline + Duration::from_millis(20));
     assert_eq!(traces(&rig).len(), 1);
     // Nothing of it is held on to: its id may be used again.
     sleep(Duration::from_millis(100)).await;
     let again = Instant::now() + Duration::from_secs(1);
-    let mut ticket = rig.desk.ask(ask(1, 0, again)).unwrap();
+    let mut ticket = rig.intake.ask(ask(1, 0, again)).unwrap();
     assert!(!matches!(ticket.answer().await, Some(Answer::Failed(Failure::IdInUse))));
 }
