--- a/gateway/src/broker/message.rs
+++ b/gateway/src/broker/message.rs
@@ -225,6 +225,8 @@
     Noted(Note),
     /// It has ended.
     Ended(End),
+    /// It was given up, and its engine has been told so, or was never sent it, or can't have it any more.
+    GivenUp,
 }
 
 /// One engine as the names tell it.
@@ -268,8 +270,8 @@
     fn start(&mut self, order: Order, now: Instant) -> bool {
         (**self).start(order, now)
     }
-    fn stop(&mut self, key: AttemptKey) {
-        (**self).stop(key);
+    fn stop(&mut self, key: AttemptKey) -> bool {
+        (**self).stop(key)
     }
     fn boost(&mut self, key: AttemptKey, priority: u8) {
         (**self).boost(key, priority);
@@ -289,8 +291,8 @@
     fn place(&mut self, engine: EngineId, place: Option<(SocketAddr, Gate)>);
     /// Starts an attempt; `false` if it was not sent and never will be.
     fn start(&mut self, order: Order, now: Instant) -> bool;
-    /// Gives an attempt up. No news of it is wanted any more.
-    fn stop(&mut self, key: AttemptKey);
+    /// Gives an attempt up; `true` if news follows once its engine has been told.
+    fn stop(&mut self, key: AttemptKey) -> bool;
     /// Changes its priority.
     fn boost(&mut self, key: AttemptKey, priority: u8);
     /// The attempt has ended by itself; its place is free.
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -74,6 +74,8 @@
     sent: Instant,
     deadline: Instant,
     cancelled: CancellationToken,
+    /// It is being given up, and counts as ended so once its engine has been told.
+    stopping: Option<Outcome>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -152,6 +154,8 @@
     look_at: Instant,
     /// How long engines remember the keys of each class that has any.
     windows: Vec<Option<Duration>>,
+    /// A request may have two attempts out.
+    second_copies: bool,
     /// The module's clock: microseconds of the Unix clock at the start, and the instant of that.
     epoch: (u64, Instant),
     pending: Vec<Event>,
@@ -200,6 +204,7 @@
             end: None,
             look_at: now,
             windows,
+            second_copies: deployment.sockets.second_copies,
             epoch: (unix.as_micros() as u64, now),
             pending: Vec::new(),
             tally: Tally::default(),
@@ -311,6 +316,11 @@
                     self.pending.push(Event::Noted { request: out.request, attempt: out.number, note });
                 }
             }
+            Input::News(key, News::GivenUp) => {
+                if let Some(outcome) = self.attempts.get(&key).and_then(|o| o.stopping) {
+                    self.ended(key, outcome.into());
+                }
+            }
             Input::News(key, News::Ended(end)) => {
                 // Late answers of attempts that were given up find no entry, and are dropped.
                 if self.attempts.contains_key(&key) {
@@ -502,6 +512,21 @@
         self.settle(out.request);
     }
 
+    /// Gives an attempt up. Where a request may not have two out, it counts as out until its engine has been told: the
+    /// word for the next one could overtake the word that ends this one.
+    fn give_up(&mut self, key: AttemptKey, outcome: Outcome) {
+        let Some(out) = self.attempts.get_mut(&key).filter(|o| o.stopping.is_none()) else { return };
+        out.cancelled.cancel();
+        let told_later = self.links.stop(key);
+        let again = self.open.get(&out.request).is_some_and(|o| o.reply.is_some());
+        if told_later && again && !self.second_copies {
+            out.stopping = Some(outcome);
+            self.due.remove(&(out.deadline, Due::Attempt(key)));
+        } else {
+            self.ended(key, outcome.into());
+        }
+    }
+
     /// A request's id, for the log.
     fn trace(&self, id: RequestId) -> Option<String> {
         self.open.get(&id).map(|o| String::from_utf8_lossy(&o.ask.trace).into_owned())
@@ -556,16 +581,18 @@
         while let Some(&(at, due)) = self.due.first().filter(|d| d.0 <= now) {
             self.due.remove(&(at, due));
             match due {
-                Due::Attempt(key) => {
-                    self.links.stop(key);
-                    self.ended(key, Outcome::TimedOut.into());
-                }
+                Due::Attempt(key) => self.give_up(key, Outcome::TimedOut),
                 Due::Request(id) => {
                     if self.open.get(&id).is_some_and(|o| o.reply.is_some()) {
                         self.answer(id, Answer::Failed(Failure::Deadline));
                         self.pending.push(Event::Left(id));
                         self.settle(id);
                     }
+                    // No further attempt can follow now: nothing waits for their engines any more.
+                    let out = self.open.get(&id).into_iter().flat_map(|o| &o.out).map(|o| o.1);
+                    let stopping = |key| Some((key, self.attempts.get(&key)?.stopping?));
+                    let stopping: Vec<_> = out.filter_map(stopping).collect();
+                    stopping.into_iter().for_each(|(key, outcome)| self.ended(key, outcome.into()));
                 }
             }
         }
@@ -610,8 +637,7 @@
             Action::Cancel { request, attempt } => {
                 let out = self.open.get(&request).and_then(|o| o.out.iter().find(|o| o.0 == attempt));
                 if let Some(&(_, key)) = out {
-                    self.links.stop(key);
-                    self.ended(key, Outcome::Cancelled.into());
+                    self.give_up(key, Outcome::Cancelled);
                 }
             }
             Action::Refuse { request, retry_after } => {
@@ -703,7 +729,8 @@
         }
         let Some(open) = self.open.get_mut(&id) else { return Err(number) };
         open.out.push((number, key));
-        self.attempts.insert(key, Out { request: id, number, engine, sent: now, deadline, cancelled });
+        self.attempts
+            .insert(key, Out { request: id, number, engine, sent: now, deadline, cancelled, stopping: None });
         self.due.insert((deadline, Due::Attempt(key)));
         self.tally.sent += 1;
         debug!(self.log, "sent"; "trace" => self.trace(id), "attempt" => number.0, "engine" => engine.0);
--- a/gateway/src/engine/flight/mod.rs
+++ b/gateway/src/engine/flight/mod.rs
@@ -108,9 +108,10 @@
         true
     }
 
-    fn stop(&mut self, key: AttemptKey) {
+    fn stop(&mut self, key: AttemptKey) -> bool {
         self.tasks.remove(&key).into_iter().for_each(|t| t.abort());
         self.pool.release(key, true);
+        false
     }
 
     /// Flight SQL has no word for the priority of what already runs: it holds from the next attempt on.
--- a/gateway/src/engine/pool/tests.rs
+++ b/gateway/src/engine/pool/tests.rs
@@ -45,6 +45,7 @@
         keepalive,
         multiplex: 2,
         open_cap: 10,
+        second_copies: true,
     };
     let mut pool = Pool::new(Arc::new(sockets), 3, notes);
     pool.place(ENGINE, Some((([127, 0, 0, 1], 1).into(), Gate::default())));
--- a/gateway/src/engine/resp/connection.rs
+++ b/gateway/src/engine/resp/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to an engine: a task that writes commands and reads answers, many attempts at a time.
 
-use super::outgoing::Outgoing;
+use super::outgoing::{Outgoing, Written};
 use super::wire::{self, BadAnswer, PAGES_MOST, Reply, Word};
 use crate::broker::{AttemptKey, End, Input, News, Order, Rows};
 use crate::engine::pool::Heard;
@@ -10,9 +10,10 @@
 use reedwalk_core::Outcome;
 use reedwalk_settings::Sockets;
 use socket2::SockRef;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
@@ -62,6 +63,8 @@
     by_id: HashMap<Bytes, Attempt>,
     ids: HashMap<AttemptKey, Bytes>,
     out: Outgoing,
+    /// Given up, and the engine has not been told so yet.
+    stopping: HashSet<AttemptKey>,
 }
 
 impl Task {
@@ -84,6 +87,7 @@
             by_id: HashMap::new(),
             ids: HashMap::new(),
             out: Outgoing::default(),
+            stopping: HashSet::new(),
         }
     }
 
@@ -101,23 +105,31 @@
 
     /// Connects by `by`, then serves until the links let go of it or the connection breaks.
     pub async fn run(mut self, by: Instant) {
-        let over = match timeout_at(by, TcpStream::connect(self.peer)).await {
-            Ok(Ok(mut stream)) => {
+        let over = match self.connect(by).await {
+            Some(mut stream) => {
                 let _ = stream.set_nodelay(true);
                 self.heard.now();
                 Some(self.serve(&mut stream).await)
             }
-            _ => None,
+            None => None,
         };
         // Nothing that was not written whole has run. That the engine was not there is told only where it was
         // not: a connection that broke before a command went out says nothing against it.
         let unsent = if over.is_some() { Outcome::Moot } else { Outcome::ConnectFailed };
         self.commands.close();
         while let Some(command) = self.commands.recv().await {
-            if let Command::Start(order, _) = command {
-                self.tell(order.key, News::Ended(unsent.into())).await;
+            match command {
+                Command::Start(order, _) => self.tell(order.key, News::Ended(unsent.into())).await,
+                // It is told of below, if it was sent at all.
+                Command::Stop(key) => _ = self.stopping.insert(key),
+                Command::Boost(..) => {}
             }
         }
+        // The connection has ended, and with it all that was open there.
+        for key in std::mem::take(&mut self.stopping) {
+            self.forget(key);
+            self.tell(key, News::GivenUp).await;
+        }
         // What else was out where one answer could not be read is withdrawn with the connection: the engine
         // answers for one of them, not for all.
         let mut answered_for = matches!(over, Some(Over::Spoilt { told: true }));
@@ -133,6 +145,19 @@
         }
     }
 
+    /// Comes up by `by`, or not at all; what is given up meanwhile was never sent.
+    async fn connect(&mut self, by: Instant) -> Option<TcpStream> {
+        let connecting = timeout_at(by, TcpStream::connect(self.peer));
+        let mut connecting = pin!(connecting);
+        loop {
+            tokio::select! {
+                biased;
+                connected = &mut connecting => return connected.ok()?.ok(),
+                Some(command) = self.commands.recv() => self.command(command).await,
+            }
+        }
+    }
+
     async fn serve(&mut self, stream: &mut TcpStream) -> Over {
         let (mut reader, writer) = stream.split();
         let mut buffer = BytesMut::with_capacity(16 * 1024);
@@ -144,9 +169,9 @@
                 command = self.commands.recv() => match command {
                     None => return Over::Broken,
                     Some(command) => {
-                        self.command(command);
+                        self.command(command).await;
                         while let Ok(command) = self.commands.try_recv() {
-                            self.command(command);
+                            self.command(command).await;
                         }
                     }
                 },
@@ -170,7 +195,7 @@
                         return Over::Broken;
                     }
                     match writer.try_write_vectored(&self.out.slices()) {
-                        Ok(n) if n > 0 => self.written(n),
+                        Ok(n) if n > 0 => self.written(n).await,
                         Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
                         _ => return Over::Broken,
                     }
@@ -212,15 +237,30 @@
         }
     }
 
-    fn written(&mut self, count: usize) {
-        for key in self.out.written(count) {
-            self.figures.upstream();
-            let attempt = self.ids.get(&key).and_then(|id| self.by_id.get_mut(id));
-            attempt.into_iter().for_each(|a| a.sent = true);
+    async fn written(&mut self, count: usize) {
+        for written in self.out.written(count) {
+            match written {
+                Written::Start(key) => {
+                    self.figures.upstream();
+                    let attempt = self.ids.get(&key).and_then(|id| self.by_id.get_mut(id));
+                    attempt.into_iter().for_each(|a| a.sent = true);
+                }
+                Written::Stop(key) => {
+                    self.stopping.remove(&key);
+                    self.tell(key, News::GivenUp).await;
+                }
+            }
         }
     }
 
-    fn command(&mut self, command: Command) {
+    /// Nothing of an attempt is wanted any more; its id, and whether its first answer had come.
+    fn forget(&mut self, key: AttemptKey) -> Option<(Bytes, bool)> {
+        let id = self.ids.remove(&key)?;
+        let served = self.by_id.remove(&id).is_some_and(|a| a.served.is_some());
+        Some((id, served))
+    }
+
+    async fn command(&mut self, command: Command) {
         match command {
             Command::Start(order, gate) => {
                 let lane = self.sockets.classes.get(order.class.0).map_or("", String::as_str);
@@ -229,11 +269,13 @@
                 self.by_id.insert(order.trace, Attempt { key: order.key, sent: false, served: None });
             }
             Command::Stop(key) => {
-                let Some(id) = self.ids.remove(&key) else { return };
-                let served = self.by_id.remove(&id).is_some_and(|a| a.served.is_some());
+                let Some((id, served)) = self.forget(key) else { return };
                 // What the engine has not been sent it is not sent just to be told to give it up.
-                if !self.out.withdraw(key) {
-                    self.out.put(key, &[if served { b"DISCARD" } else { b"KILL" }, &id]);
+                if self.out.withdraw(key) {
+                    self.tell(key, News::GivenUp).await;
+                } else {
+                    self.stopping.insert(key);
+                    self.out.stop(key, &[if served { b"DISCARD" } else { b"KILL" }, &id]);
                 }
             }
             Command::Boost(key, priority) => {
@@ -345,10 +387,14 @@
         for attempt in self.by_id.values() {
             tell(attempt.key, if attempt.sent { Outcome::Reset } else { Outcome::Moot });
         }
+        let given_up = |key| _ = self.queue.try_send(Input::News(key, News::GivenUp));
+        self.stopping.iter().copied().for_each(given_up);
         self.commands.close();
         while let Ok(command) = self.commands.try_recv() {
-            if let Command::Start(order, _) = command {
-                tell(order.key, Outcome::Moot);
+            match command {
+                Command::Start(order, _) => tell(order.key, Outcome::Moot),
+                Command::Stop(key) => given_up(key),
+                Command::Boost(..) => {}
             }
         }
     }
--- a/gateway/src/engine/resp/mod.rs
+++ b/gateway/src/engine/resp/mod.rs
@@ -80,9 +80,12 @@
         sent
     }
 
-    fn stop(&mut self, key: AttemptKey) {
+    fn stop(&mut self, key: AttemptKey) -> bool {
+        // What its connection can't be told it hears of at its end.
+        let open = self.pool.find(key).is_some_and(|c| !c.is_closed());
         self.command(key, Command::Stop(key));
         self.pool.release(key, true);
+        open
     }
 
     fn boost(&mut self, key: AttemptKey, priority: u8) {
--- a/gateway/src/engine/resp/outgoing.rs
+++ b/gateway/src/engine/resp/outgoing.rs
@@ -26,12 +26,37 @@
     }
 }
 
+/// What a command does to its attempt.
+enum Does {
+    Starts(Terms),
+    Stops,
+    Other,
+}
+
 struct Command {
     bytes: Bytes,
     /// The attempt that it is about.
     key: AttemptKey,
-    /// For a command that starts its attempt.
-    starts: Option<Terms>,
+    does: Does,
+}
+
+impl Command {
+    fn starts(&self) -> bool {
+        matches!(self.does, Does::Starts(_))
+    }
+
+    /// It starts its attempt and may not any more.
+    fn void(&self, now: Instant) -> bool {
+        matches!(&self.does, Does::Starts(terms) if !terms.hold(now))
+    }
+}
+
+/// What is whole on the wire now.
+pub enum Written {
+    /// The start of an attempt.
+    Start(AttemptKey),
+    /// The word that it is given up.
+    Stop(AttemptKey),
 }
 
 /// Commands in the order in which they are written.
@@ -53,21 +78,27 @@
         let mut bytes = BytesMut::new();
         wire::put_order(&mut bytes, order, lane, now);
         let terms = Terms { gate, cancelled: order.cancelled.clone(), write_by: order.write_by };
-        self.commands.push_back(Command { bytes: bytes.freeze(), key: order.key, starts: Some(terms) });
+        self.commands.push_back(Command { bytes: bytes.freeze(), key: order.key, does: Does::Starts(terms) });
     }
 
     /// A command about an attempt that was started before.
     pub fn put(&mut self, key: AttemptKey, words: &[&[u8]]) {
         let mut bytes = BytesMut::new();
         wire::put_array(&mut bytes, words);
-        self.commands.push_back(Command { bytes: bytes.freeze(), key, starts: None });
+        self.commands.push_back(Command { bytes: bytes.freeze(), key, does: Does::Other });
+    }
+
+    /// The command that gives an attempt up which was started before.
+    pub fn stop(&mut self, key: AttemptKey, words: &[&[u8]]) {
+        self.put(key, words);
+        self.commands.back_mut().into_iter().for_each(|c| c.does = Does::Stops);
     }
 
     /// Takes an attempt's commands out, if the one that starts it is here and has not begun to be written. What has
     /// begun is another's: none of an attempt's commands stands before the one that starts it.
     pub fn withdraw(&mut self, key: AttemptKey) -> bool {
         let begun = usize::from(self.begun);
-        let waits = self.commands.iter().skip(begun).any(|c| c.key == key && c.starts.is_some());
+        let waits = self.commands.iter().skip(begun).any(|c| c.key == key && c.starts());
         if waits {
             self.commands.retain(|c| c.key != key);
         }
@@ -77,8 +108,7 @@
     /// Takes the commands of all attempts out that have not begun to be written and may not be any more.
     pub fn withdraw_void(&mut self, now: Instant) -> Vec<AttemptKey> {
         let begun = usize::from(self.begun);
-        let void = |c: &&Command| c.starts.as_ref().is_some_and(|t| !t.hold(now));
-        let void: Vec<_> = self.commands.iter().skip(begun).filter(void).map(|c| c.key).collect();
+        let void: Vec<_> = self.commands.iter().skip(begun).filter(|c| c.void(now)).map(|c| c.key).collect();
         if !void.is_empty() {
             self.commands.retain(|c| !void.contains(&c.key));
         }
@@ -90,9 +120,9 @@
         self.commands.iter().take(SLICES_MOST).map(|c| IoSlice::new(&c.bytes)).collect()
     }
 
-    /// So many bytes were written; the attempts whose start is now whole on the wire.
-    pub fn written(&mut self, mut count: usize) -> Vec<AttemptKey> {
-        let mut started = Vec::new();
+    /// So many bytes were written; what is now whole on the wire.
+    pub fn written(&mut self, mut count: usize) -> Vec<Written> {
+        let mut written = Vec::new();
         while let Some(first) = self.commands.front_mut() {
             if count < first.bytes.len() {
                 first.bytes.advance(count);
@@ -101,9 +131,13 @@
             }
             count -= first.bytes.len();
             self.begun = false;
-            let first = self.commands.pop_front();
-            started.extend(first.filter(|c| c.starts.is_some()).map(|c| c.key));
+            let Some(first) = self.commands.pop_front() else { break };
+            match first.does {
+                Does::Starts(_) => written.push(Written::Start(first.key)),
+                Does::Stops => written.push(Written::Stop(first.key)),
+                Does::Other => {}
+            }
         }
-        started
+        written
     }
 }
--- a/gateway/src/engine/resp/tests.rs
+++ b/gateway/src/engine/resp/tests.rs
@@ -62,6 +62,7 @@
         keepalive: Duration::from_secs(15),
         multiplex: 32,
         open_cap: 10,
+        second_copies: true,
     };
     let heard = Arc::new(Heard::new(Instant::now()));
     let peer = listener.local_addr().unwrap();
@@ -91,7 +92,7 @@
 
 async fn outcome(news: &mut mpsc::Receiver<Input>) -> (AttemptKey, Outcome) {
     loop {
-        if let Some(Input::News(key, News::Ended(end))) = news.recv().await {
+        if let Input::News(key, News::Ended(end)) = news.recv().await.expect("the connection has ended") {
             return (key, end.outcome);
         }
     }
@@ -145,6 +146,46 @@
     assert_eq!(outcome(&mut news).await, (AttemptKey(1), Outcome::Moot));
 }
 
+/// The attempt that is next told of as given up.
+async fn given_up(news: &mut mpsc::Receiver<Input>) -> AttemptKey {
+    loop {
+        if let Input::News(key, News::GivenUp) = news.recv().await.expect("the connection has ended") {
+            return key;
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_attempt_counts_as_given_up_once_its_engine_has_been_told() {
+    const LARGE: usize = 64 << 20;
+    let link = link().await;
+    link.commands.try_send(start(&order(1, STOPPED, 10))).unwrap();
+    link.commands.try_send(start(&order(2, WANTED, LARGE))).unwrap();
+    let (mut engine, commands, mut news) = link.up().await;
+    // The first is whole on the wire; of the second, behind it, no socket holds all.
+    read_until(&mut engine, STOPPED).await;
+    commands.try_send(Command::Stop(AttemptKey(1))).unwrap();
+    let quiet =
+        tokio::time::timeout_at(Instant::now() + Duration::from_millis(200), given_up(&mut news)).await;
+    assert!(quiet.is_err(), "its KILL still waits for room");
+    read_until(&mut engine, "KILL").await;
+    assert_eq!(given_up(&mut news).await, AttemptKey(1));
+}
+
+#[tokio::test]
+async fn it_does_at_once_where_it_was_never_sent_and_where_its_connection_ends() {
+    let link = link().await;
+    link.commands.try_send(start(&order(1, STOPPED, 10))).unwrap();
+    link.commands.try_send(Command::Stop(AttemptKey(1))).unwrap();
+    link.commands.try_send(start(&order(2, WANTED, 64 << 20))).unwrap();
+    let (mut engine, commands, mut news) = link.up().await;
+    assert_eq!(given_up(&mut news).await, AttemptKey(1));
+    read_until(&mut engine, WANTED).await;
+    commands.try_send(Command::Stop(AttemptKey(2))).unwrap();
+    drop(engine);
+    assert_eq!(given_up(&mut news).await, AttemptKey(2));
+}
+
 #[tokio::test]
 async fn an_order_that_has_begun_to_be_written_is_written_whole_and_then_killed() {
     const LARGE: usize = 64 << 20;
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -97,6 +97,7 @@
     multiplex: Option<usize>,
     open_cap: Option<usize>,
     may_tell: Option<bool>,
+    second_copies: bool,
 }
 
 #[derive(Default, Deserialize)]
@@ -163,6 +164,8 @@
     pub open_cap: usize,
     /// Front ends may send one another messages; none where nothing is said of it.
     pub may_tell: Option<bool>,
+    /// A request may have two attempts out at once; not where nothing is said of it.
+    pub second_copies: bool,
 }
 
 /// All that the settings object tells.
@@ -211,6 +214,7 @@
         multiplex: limits.multiplex.unwrap_or(1).max(1),
         open_cap: limits.open_cap.unwrap_or(usize::MAX),
         may_tell: limits.may_tell,
+        second_copies: limits.second_copies,
     }
 }
 
