--- a/review/cases/src/bin/foreign-rows.rs
+++ b/review/cases/src/bin/foreign-rows.rs
@@ -1,5 +1,6 @@
 //! Case: in an upgrade, a Flight SQL client gets the rows of another client's statement.
 
+use arrow_flight::Ticket;
 use reedwalk_review::engine::{EngineLog, start_engine, with_engines};
 use reedwalk_review::process::{Process, Start};
 use reedwalk_review::site::{ReservedAddress, example_config, temporary_folder, write_file};
@@ -9,7 +10,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
 
-/// Queries of each of the two teams.
+/// Queries of each team that its process has served before.
+const EARLIER_QUERIES: usize = 20;
+/// Queries of each of the two teams whose tickets are not used yet.
 const QUERIES: usize = 4;
 /// Longest time that an answer may take, of a class given up after 6 s.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
@@ -26,6 +29,29 @@
     Client::connect(address).await.with_header("reedwalk-class", "lookup")
 }
 
+/// Runs a team's earlier queries to their end: each has its own rows.
+async fn run_earlier_queries(client: &Client, team: &str, record: &Record) {
+    for number in 0..EARLIER_QUERIES {
+        let asked = statement(team, number);
+        let rows =
+            timeout(ANSWER_TIMEOUT, client.query(&asked)).await.expect("no answer").expect("not served");
+        assert_eq!(rows[0][0], asked, "an earlier query has foreign rows");
+    }
+    record.line(&format!("{team}: {EARLIER_QUERIES} queries served, each with its own rows"));
+}
+
+/// Asks for tickets and does not use them yet.
+async fn get_tickets(client: &Client, team: &str, record: &Record) -> Vec<Ticket> {
+    let mut tickets = Vec::new();
+    for number in 0..QUERIES {
+        let asked = statement(team, number);
+        let info = client.info(&asked).await.expect("no info");
+        record.line(&format!("{team}: GetFlightInfo for [{asked}]: a ticket"));
+        tickets.push(info.endpoint[0].ticket.clone().expect("no ticket"));
+    }
+    tickets
+}
+
 /// Starts the second process, and ends the first once the second says yes, as the platform does.
 async fn upgrade(mut old: Process, start: Start<'_>, record: &Record) -> Process {
     let new = Start { name: "new process", ..start }.run(record).await;
@@ -59,27 +85,17 @@
     let mut process = start.run(record).await;
     process.wait_for_health(record).await;
 
-    // The first team asks for its tickets; each is valid for one DoGet within 60 s.
+    // The first team has been served for a while, and asks for tickets; each is valid for one DoGet within 60 s.
     let first_team = connect(flight.address).await;
-    let mut first_tickets = Vec::new();
-    for number in 0..QUERIES {
-        let info =
-            first_team.info(&statement("first-team", number)).await.expect("no info for the first team");
-        record.line(&format!("first team: GetFlightInfo {}: a ticket", statement("first-team", number)));
-        first_tickets.push(info.endpoint[0].ticket.clone().expect("no ticket"));
-    }
+    run_earlier_queries(&first_team, "first-team", record).await;
+    let first_tickets = get_tickets(&first_team, "first-team", record).await;
     if with_trouble() {
         process = upgrade(process, start, record).await;
     }
     // The second team does the same. In an upgrade it reaches the new process.
     let second_team = connect(flight.address).await;
-    let mut second_tickets = Vec::new();
-    for number in 0..QUERIES {
-        let info =
-            second_team.info(&statement("second-team", number)).await.expect("no info for the second team");
-        record.line(&format!("second team: GetFlightInfo {}: a ticket", statement("second-team", number)));
-        second_tickets.push(info.endpoint[0].ticket.clone().expect("no ticket"));
-    }
+    run_earlier_queries(&second_team, "second-team", record).await;
+    let second_tickets = get_tickets(&second_team, "second-team", record).await;
     // The first team fetches its results. The old process has closed its connection, so it connects again.
     let mut foreign = 0;
     for (team, tickets) in [("first-team", first_tickets), ("second-team", second_tickets)] {
--- a/review/cases/src/flight_engine.rs
+++ b/review/cases/src/flight_engine.rs
@@ -23,6 +23,9 @@
 /// Columns of every result.
 const COLUMNS: [&str; 3] = ["statement", "count", "engine"];
 
+/// Rows of every result.
+const RESULT_ROWS: i64 = 1;
+
 #[derive(Clone)]
 struct Engine {
     id: &'static str,
@@ -100,7 +103,7 @@
         self.log.add_effect(self.id, &query.query);
         let ticket = TicketStatementQuery { statement_handle: query.query.clone().into() };
         let endpoint = FlightEndpoint::new().with_ticket(Ticket::new(ticket.as_any().encode_to_vec()));
-        Ok(Response::new(FlightInfo::new().with_endpoint(endpoint)))
+        Ok(Response::new(FlightInfo::new().with_endpoint(endpoint).with_total_records(RESULT_ROWS)))
     }
 
     async fn do_get_statement(
