Review: count a refusal after the statement has run, which the rule forbids too

Cause: with no second engine at hand the client is told that trying again is harmless; the check of review/1 saw only a second run.

Change: review/1 also fails on a refusal after a run; the claim says so.

--- a/review/cases/src/bin/run-twice-at-drain.rs
+++ b/review/cases/src/bin/run-twice-at-drain.rs
@@ -27,6 +27,8 @@
 const FIRST_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long the case goes on after the answer.
 const SETTLE: Duration = Duration::from_secs(4);
+/// Error codes of a refusal, which tells the client that trying again is harmless.
+const REFUSALS: [u16; 3] = [1040, 1203, 1226];
 /// A word that only this statement has.
 const MARK: &str = "pay_out_merchant_4711";
 
@@ -79,15 +81,15 @@
         list.1.iter_mut().filter(|listed| listed.id == engine).for_each(|listed| listed.draining = true);
         record.line(&format!("name server: event {}: {engine} drains", list.0));
     }
-    match timeout(PATIENCE + ANSWER_SLACK, client.answer()).await {
-        Ok(answer) => record.line(&format!("client: answer: {answer:?}")),
-        Err(_) => record.line("client: no answer in its time"),
-    }
+    let answer = timeout(PATIENCE + ANSWER_SLACK, client.answer()).await;
+    record.line(&format!("client: answer: {answer:?}"));
+    let is_refused = matches!(answer, Ok(Err((code, _))) if REFUSALS.contains(&code));
     sleep(SETTLE).await;
     let (sent, ran) = (log.attempts_of(MARK).len(), log.effects_of(MARK));
     record.line(&format!("the statement was sent {sent} times and ran to its end at {ran:?}"));
     drop(process);
-    if ran.len() > 1 { Verdict::Broken } else { Verdict::Held }
+    let is_refused_after_it_ran = is_refused && !ran.is_empty();
+    if ran.len() > 1 || is_refused_after_it_ran { Verdict::Broken } else { Verdict::Held }
 }
 
 fn main() {
