Pass a KILL QUERY on to the process of a hot restart that holds the query

Cause: kill_running_query (front/mysql/session.rs) looked only among the queries of its own process and answered OK whether it found one or not. Ruled out: that the command reached the old process and the broker sent the batch all the same.

Change: a command for a connection that is unknown here goes to the consoles of the gateway's other live processes (KILL ID), and the client is answered once they have answered, or after 0.5 s. Each process writes its console's address to a file of its own; the format of the stage file is unchanged. The challenge of the login no longer uses the configuration's seed.

Why it works: an OK now follows the cancellation in the process that holds the query, in either direction.

--- a/gateway/src/console/line.rs
+++ b/gateway/src/console/line.rs
@@ -16,6 +16,8 @@
     Offline(String),
     /// Returns the engine with this id to service.
     Online(String),
+    /// Cancels the query of the MySQL connection with this id in this process.
+    Kill(u32),
 }
 
 /// Why a line is not a valid command.
@@ -33,6 +35,8 @@
     UnknownCommand,
     /// The command requires an engine id, and none was given.
     MissingEngineId,
+    /// The command requires a connection id, and none was given, or it is not a number.
+    InvalidConnectionId,
     /// There are more arguments than the command takes.
     ExtraArguments,
     /// The connection was closed before the line was complete.
@@ -46,8 +50,11 @@
             Self::TooLong => "the line is longer than 256 bytes",
             Self::InvalidUtf8 => "the line is not UTF-8",
             Self::ControlCharacter => "the line contains a control character",
-            Self::UnknownCommand => "unknown command; expected HEALTH, DUMP, OFFLINE ID or ONLINE ID",
+            Self::UnknownCommand => {
+                "unknown command; expected HEALTH, DUMP, OFFLINE ID, ONLINE ID or KILL ID"
+            }
             Self::MissingEngineId => "the command needs the id of an engine",
+            Self::InvalidConnectionId => "the command needs the id of a connection",
             Self::ExtraArguments => "the command has too many words",
             Self::Incomplete => "the connection ended before the line did",
         })
@@ -96,10 +103,16 @@
         ("DUMP", None) => Ok(Command::Dump),
         ("OFFLINE", Some(id)) => Ok(Command::Offline(id)),
         ("ONLINE", Some(id)) => Ok(Command::Online(id)),
+        ("KILL", id) => parse_connection_id(id).map(Command::Kill),
         _ if takes_engine_id => Err(CommandParseError::MissingEngineId),
         _ => Err(CommandParseError::UnknownCommand),
     }
 }
 
+fn parse_connection_id(text: Option<String>) -> Result<u32, CommandParseError> {
+    let id = text.and_then(|text| text.parse().ok());
+    id.ok_or(CommandParseError::InvalidConnectionId)
+}
+
 #[cfg(test)]
 mod tests;
--- a/gateway/src/console/line/tests.rs
+++ b/gateway/src/console/line/tests.rs
@@ -6,7 +6,12 @@
     assert_eq!(parse_command(b"DUMP"), Ok(Command::Dump));
     assert_eq!(parse_command(b"OFFLINE s-00c41f7a"), Ok(Command::Offline("s-00c41f7a".into())));
     assert_eq!(parse_command(b"ONLINE s-1"), Ok(Command::Online("s-1".into())));
-    let invalid: [(&[u8], CommandParseError); 10] = [
+    assert_eq!(parse_command(b"KILL 4294967295"), Ok(Command::Kill(u32::MAX)));
+    let invalid: [(&[u8], CommandParseError); 14] = [
+        (b"KILL", CommandParseError::InvalidConnectionId),
+        (b"KILL s-1", CommandParseError::InvalidConnectionId),
+        (b"KILL 4294967296", CommandParseError::InvalidConnectionId),
+        (b"KILL 1 2", CommandParseError::ExtraArguments),
         (b"", CommandParseError::Empty),
         (b"   ", CommandParseError::Empty),
         (b"health", CommandParseError::UnknownCommand),
--- a/gateway/src/console/mod.rs
+++ b/gateway/src/console/mod.rs
@@ -7,6 +7,7 @@
 use crate::health::Health;
 use crate::metrics::Metrics;
 use crate::registry::{EndpointRegistry, OverrideError};
+use crate::running_queries::RunningQueries;
 use bytes::BytesMut;
 use line::{Command, CommandParseError};
 use reedwalk_operations::Override;
@@ -31,7 +32,7 @@
 /// Maximum length of an answer that [`send_command`] reads.
 const MAX_ANSWER_BYTES: u64 = 1 << 20;
 /// The answer to a successful command without other output.
-const SUCCESS_LINE: &str = "SUCCESS\n";
+pub const SUCCESS_LINE: &str = "SUCCESS\n";
 /// The last line of every answer to DUMP.
 const DUMP_END: &str = "EOT";
 
@@ -49,6 +50,8 @@
     Parse(CommandParseError),
     /// The override was rejected.
     Override(OverrideError),
+    /// The connection runs no query in this process.
+    NoRunningQuery,
 }
 
 impl fmt::Display for CommandError {
@@ -58,6 +61,7 @@
             Self::TooManyCommands => write!(f, "too many commands are being answered"),
             Self::Parse(error) => write!(f, "{error}"),
             Self::Override(error) => write!(f, "{error}"),
+            Self::NoRunningQuery => write!(f, "the connection runs no query in this process"),
         }
     }
 }
@@ -65,7 +69,7 @@
 impl std::error::Error for CommandError {
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
-            Self::NotServing | Self::TooManyCommands => None,
+            Self::NotServing | Self::TooManyCommands | Self::NoRunningQuery => None,
             Self::Parse(error) => Some(error),
             Self::Override(error) => Some(error),
         }
@@ -94,6 +98,7 @@
     health: Health,
     metrics: Arc<Metrics>,
     registry: EndpointRegistry,
+    running_queries: Arc<RunningQueries>,
     connections: Mutex<Connections>,
     log: Logger,
 }
@@ -153,8 +158,14 @@
 
 impl Console {
     /// Creates an admin interface to these parts of the process.
-    pub fn new(health: Health, metrics: Arc<Metrics>, registry: EndpointRegistry, log: Logger) -> Self {
-        Self { health, metrics, registry, connections: Mutex::default(), log }
+    pub fn new(
+        health: Health,
+        metrics: Arc<Metrics>,
+        registry: EndpointRegistry,
+        running_queries: Arc<RunningQueries>,
+        log: Logger,
+    ) -> Self {
+        Self { health, metrics, registry, running_queries, connections: Mutex::default(), log }
     }
 
     fn connections(&self) -> std::sync::MutexGuard<'_, Connections> {
@@ -234,6 +245,10 @@
             }
             Command::Offline(id) => self.set_override(&id, Override::Out).await,
             Command::Online(id) => self.set_override(&id, Override::Returned).await,
+            Command::Kill(connection_id) if self.running_queries.kill(connection_id).await => {
+                Ok(SUCCESS_LINE.into())
+            }
+            Command::Kill(_) => Err(CommandError::NoRunningQuery),
         }
     }
 
--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -3,9 +3,9 @@
 mod close;
 mod connection_ids;
 pub mod fields;
+mod kill_query;
 pub mod packet;
 mod response;
-mod running_queries;
 mod session;
 mod session_slots;
 
@@ -16,10 +16,10 @@
 use crate::quotas::QuotaManager;
 use crate::shutdown::{Phase, wait_until_closing};
 use connection_ids::ConnectionIds;
+pub use kill_query::{KillOutcome, QueryKiller};
 use packet::Writer;
 use reedwalk_operations::CapacityShare;
 use reedwalk_settings::Deployment;
-use running_queries::RunningQueries;
 use session::Session;
 use session_slots::{SessionSlots, SlotCounts};
 use slog::{Logger, warn};
@@ -48,10 +48,9 @@
     quotas: Option<Arc<QuotaManager>>,
     slots: Arc<SessionSlots>,
     max_sessions: usize,
-    running: RunningQueries,
+    query_killer: QueryKiller,
     /// Permits for refused clients that still read the error.
     refused_permits: Arc<Semaphore>,
-    seed: u64,
     cores: Multicore,
     log: Logger,
 }
@@ -84,7 +83,7 @@
         deployment: Arc<Deployment>,
         quotas: Option<Arc<QuotaManager>>,
         limits: &Limits,
-        seed: u64,
+        query_killer: QueryKiller,
         cores: Multicore,
         log: Logger,
     ) -> Self {
@@ -97,9 +96,8 @@
             quotas,
             slots: Arc::new(SessionSlots::new(max_sessions, max_statement_bytes)),
             max_sessions,
-            running: RunningQueries::default(),
+            query_killer,
             refused_permits: Arc::new(Semaphore::new(max_refused)),
-            seed,
             cores,
             log,
         }
--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -152,8 +152,7 @@
     /// Performs the handshake and returns whether the login was accepted.
     async fn login(&mut self) -> Result<bool, SessionEnd> {
         let deadline = self.connected_at + LOGIN_TIMEOUT;
-        let scramble = scramble(self.front.seed, self.id);
-        Writer::new(&mut self.output, 0).greeting(self.id, scramble);
+        Writer::new(&mut self.output, 0).greeting(self.id, scramble(self.id));
         self.flush(deadline).await?;
         let login = packet::read_login(self.read_login(deadline).await?)?;
         let user = std::str::from_utf8(&login.user).unwrap_or_default();
@@ -252,7 +251,9 @@
     async fn handle_query(&mut self, text: Bytes) -> Result<(), SessionEnd> {
         let now = Instant::now();
         if let Some(connection_id) = sql::kill_query(&text) {
-            self.kill_running_query(connection_id).await;
+            // Success is reported also if no query is running there; a killed query's own client receives the error.
+            self.front.query_killer.kill(connection_id).await;
+            Writer::new(&mut self.output, 1).ok(0);
             return Ok(());
         }
         let request = match self.read_request(&text, now) {
@@ -272,7 +273,7 @@
             }
         };
         let response = self.wait_for_response(&mut pending, deadline + BROKER_STALL_GRACE).await;
-        self.front.running.remove(self.id);
+        self.front.query_killer.running().remove(self.id);
         if let Err(SessionEnd::ProtocolError(_)) = &response {
             pending.fail(Failure::Engine);
         }
@@ -285,17 +286,6 @@
         self.flush(deadline.max(now) + RESPONSE_WRITE_TIMEOUT).await
     }
 
-    /// Kills the query of another connection and reports success, also if no query is running there. The client of a
-    /// killed query receives the error on its own connection.
-    async fn kill_running_query(&mut self, connection_id: u32) {
-        // The query to kill may have been received but not read yet: lets its session run first.
-        tokio::task::yield_now().await;
-        if let Some(kill) = self.front.running.remove(connection_id) {
-            let _ = kill.send(());
-        }
-        Writer::new(&mut self.output, 1).ok(0);
-    }
-
     /// Waits for the response until `deadline`; returns `None` if the query was killed. Fails if the client disconnects
     /// meanwhile.
     async fn wait_for_response(
@@ -304,7 +294,7 @@
         deadline: Instant,
     ) -> Result<Option<Response>, SessionEnd> {
         let broker_on_other_core = self.front.cores.is_multicore();
-        let mut killed = self.front.running.insert(self.id);
+        let mut killed = self.front.query_killer.running().insert(self.id);
         loop {
             if self.input.len() > MAX_READ_AHEAD_BYTES {
                 return Err(ProtocolError("too much sent ahead of the answer").into());
@@ -379,8 +369,8 @@
 }
 
 /// Returns the authentication challenge: 20 printable bytes. It needs no secrecy, as all passwords are empty.
-fn scramble(seed: u64, id: u32) -> [u8; 20] {
-    let mut state = seed ^ u64::from(id).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+fn scramble(id: u32) -> [u8; 20] {
+    let mut state = u64::from(id).wrapping_mul(0x9E37_79B9_7F4A_7C15);
     std::array::from_fn(|_| {
         state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         33 + ((state >> 33) % 94) as u8
--- a/gateway/src/hot_restart.rs
+++ b/gateway/src/hot_restart.rs
@@ -1,11 +1,13 @@
 //! Hot restart: two processes of the same gateway listen at one address while the new one takes over. Each process locks
 //! a file of its own and writes its stage into it; the kernel releases the lock when the process ends, even after a
-//! crash. Each process reads the files of the others to determine its share of the gateway's capacity.
+//! crash. Each process reads the files of the others to determine its share of the gateway's capacity. A second file
+//! holds the address of a process's console, through which the others reach it.
 
 use reedwalk_operations::{CapacityShare, ProcessStage, capacity_share};
 use slog::{Logger, info, warn};
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{Read, Seek, SeekFrom, Write};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -28,15 +30,33 @@
     file: File,
 }
 
+/// The files of one process slot.
+#[derive(Debug)]
+struct SlotPaths {
+    /// Locked by the process that holds the slot; contains its stage.
+    process: PathBuf,
+    /// Contains the address of that process's console.
+    console: PathBuf,
+}
+
+impl SlotPaths {
+    fn new(folder: &Path, stem: &str, slot: usize) -> Self {
+        let path = |kind| folder.join(format!("{stem}.{kind}-{slot}"));
+        Self { process: path("process"), console: path("console") }
+    }
+}
+
 /// This process's view of the processes of its gateway.
 #[derive(Debug)]
 pub struct HotRestart {
-    paths: Vec<PathBuf>,
+    slots: Vec<SlotPaths>,
     own: Option<OwnFile>,
     stage: ProcessStage,
     /// Stages of the other live processes.
     others: Vec<ProcessStage>,
     share: watch::Sender<CapacityShare>,
+    /// Console addresses of the other live processes.
+    other_consoles: watch::Sender<Vec<SocketAddr>>,
     log: Logger,
 }
 
@@ -72,21 +92,27 @@
     Some(decode_stage(&bytes[..length]))
 }
 
+/// The console address of the process that holds a slot; `None` if it has not written one.
+fn read_console_address(path: &Path) -> Option<SocketAddr> {
+    std::fs::read_to_string(path).ok()?.trim_end().parse().ok()
+}
+
 impl HotRestart {
     /// Locks a free process file in this folder, with a name that begins with `stem`. If none is free, this process
     /// behaves as if it were the only one.
     pub fn register(folder: &Path, stem: &str, log: Logger) -> Self {
-        let path = |slot| folder.join(format!("{stem}.process-{slot}"));
-        let paths: Vec<_> = (0..MAX_PROCESSES).map(path).collect();
-        let lock_slot =
-            |(slot, path): (usize, &PathBuf)| Some(OwnFile { slot, file: lock_process_file(path)? });
-        let own = paths.iter().enumerate().find_map(lock_slot);
+        let slots: Vec<_> = (0..MAX_PROCESSES).map(|slot| SlotPaths::new(folder, stem, slot)).collect();
+        let lock_slot = |(slot, paths): (usize, &SlotPaths)| {
+            Some(OwnFile { slot, file: lock_process_file(&paths.process)? })
+        };
+        let own = slots.iter().enumerate().find_map(lock_slot);
         if own.is_none() {
             warn!(log, "no process slot free, running as the only process");
         }
         let (share, _) = watch::channel(CapacityShare::default());
+        let (other_consoles, _) = watch::channel(Vec::new());
         let stage = ProcessStage::Starting;
-        let mut hot_restart = Self { paths, own, stage, others: Vec::new(), share, log };
+        let mut hot_restart = Self { slots, own, stage, others: Vec::new(), share, other_consoles, log };
         hot_restart.set_stage(stage);
         hot_restart
     }
@@ -96,6 +122,19 @@
         self.share.subscribe()
     }
 
+    /// A receiver of the console addresses of the gateway's other live processes.
+    pub fn other_consoles(&self) -> watch::Receiver<Vec<SocketAddr>> {
+        self.other_consoles.subscribe()
+    }
+
+    /// Tells the other processes the address of this process's console.
+    pub fn announce_console(&self, address: SocketAddr) {
+        let Some(own) = &self.own else { return };
+        if let Err(error) = std::fs::write(&self.slots[own.slot].console, format!("{address}\n")) {
+            warn!(self.log, "console address not written"; "error" => %error);
+        }
+    }
+
     /// Whether other processes of this gateway are running.
     pub fn has_other_processes(&self) -> bool {
         !self.others.is_empty()
@@ -116,8 +155,19 @@
     /// Reads the files of the other processes and updates this process's share.
     pub fn scan(&mut self) {
         let Some(own) = &self.own else { return };
-        let other_files = self.paths.iter().enumerate().filter(|(slot, _)| *slot != own.slot);
-        let others: Vec<_> = other_files.filter_map(|(_, path)| stage_of_lock_holder(path)).collect();
+        let other_slots = self.slots.iter().enumerate().filter(|(slot, _)| *slot != own.slot);
+        let (mut others, mut consoles) = (Vec::new(), Vec::new());
+        for (_, paths) in other_slots {
+            if let Some(stage) = stage_of_lock_holder(&paths.process) {
+                others.push(stage);
+                consoles.extend(read_console_address(&paths.console));
+            }
+        }
+        self.other_consoles.send_if_modified(|current| {
+            let is_modified = *current != consoles;
+            *current = consoles;
+            is_modified
+        });
         let share = capacity_share(self.stage, &others);
         if self.others != others {
             info!(self.log, "other processes changed"; "others" => ?others, "capacity_share" => share.share);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod persistence;
 pub mod quotas;
 pub mod registry;
+pub mod running_queries;
 pub mod serve;
 pub mod shared_store;
 pub mod shutdown;
--- a/gateway/src/front/mysql/running_queries.rs
+++ b/gateway/src/running_queries.rs
@@ -1,4 +1,4 @@
-//! Registry of the running queries that `KILL QUERY` can cancel.
+//! Registry of the running queries of MySQL connections, which `KILL QUERY` can cancel.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -20,8 +20,16 @@
         killed
     }
 
-    /// Removes the running query of a connection, if any, and returns the sender that cancels it.
-    pub fn remove(&self, connection_id: u32) -> Option<oneshot::Sender<()>> {
-        self.lock().remove(&connection_id)
+    /// Removes the query of a connection, which has ended.
+    pub fn remove(&self, connection_id: u32) {
+        self.lock().remove(&connection_id);
+    }
+
+    /// Cancels the query of a connection. Returns whether the connection runs one in this process.
+    pub async fn kill(&self, connection_id: u32) -> bool {
+        // The query to kill may have been received but not read yet: lets its session run first.
+        tokio::task::yield_now().await;
+        let kill = self.lock().remove(&connection_id);
+        kill.is_some_and(|kill| kill.send(()).is_ok())
     }
 }
--- a/gateway/src/serve/assembly.rs
+++ b/gateway/src/serve/assembly.rs
@@ -6,7 +6,6 @@
 use super::running::Running;
 use crate::broker::{Broker, BrokerOptions, QUEUE_CAPACITY};
 use crate::config::Config;
-use crate::discovery;
 use crate::gossip::{self, GossipGroup};
 use crate::message::GossipHandle;
 use crate::operator::{EngineProtocol, OperatorConfig};
@@ -39,7 +38,9 @@
     let settings = config.deployment.scheduler.clone();
     let mut scheduler = Scheduler::new(settings, config.seed).map_err(ServeError::Settings)?;
     let startup = StartupContext::new(config, operator, events, phase_receiver, log)?;
-    let process_group = startup.join_process_group();
+    let console = startup.listen_for_console()?;
+    let console_address = console.as_ref().map(|(_, address)| *address);
+    let process_group = startup.join_process_group(console_address);
     let shared_store = startup.connect_shared_store()?;
     let (gossip_handle, gossip_channels) = gossip_channels();
     let gossip_handle = group.is_some().then_some(gossip_handle);
@@ -50,7 +51,7 @@
         startup.start_gossip(group, gossip_channels, &registry, sources.clone(), closing);
     }
     let recovery = startup.restore_state(owner, &registry, &mut scheduler)?;
-    let console = startup.start_console(&registry)?;
+    startup.start_console(console, &registry);
     let transport = startup.engine_transport();
     let quotas = startup.start_quotas(shared_store)?;
     let options = BrokerOptions { quotas: quotas.clone(), recovery };
@@ -59,19 +60,14 @@
     let broker = Broker::new(scheduler, transport, &startup.deployment, options, context, events, broker_log);
     let broker_ended = startup.start_broker(broker, event_receiver);
     let lost_cores = startup.watch_cores();
-    tokio::spawn(discovery::poll_endpoint_list(
-        sources,
-        registry,
-        startup.config.seed,
-        startup.module_log("discovery"),
-    ));
+    startup.start_discovery(sources, registry);
     let fronts = startup.start_fronts(quotas, &process_group).await?;
     startup.health.set_serving(true);
     process_group.stage.send_replace(ProcessStage::Serving);
     let deadlines = startup.deployment.scheduler.classes.iter().map(|class| class.deadline);
     Ok(Running {
         mysql: fronts.mysql,
-        console,
+        console: console_address,
         flight: fronts.flight,
         longest_deadline: deadlines.max().unwrap_or_default(),
         phase,
--- a/gateway/src/serve/base.rs
+++ b/gateway/src/serve/base.rs
@@ -10,6 +10,7 @@
 use crate::metrics::Metrics;
 use crate::multicore::Multicore;
 use crate::operator::OperatorConfig;
+use crate::running_queries::RunningQueries;
 use crate::shutdown::Phase;
 use reedwalk_operations::{CapacityShare, ProcessStage};
 use reedwalk_scheduler::EngineObservation;
@@ -28,6 +29,7 @@
     pub(super) sockets: Arc<Sockets>,
     pub(super) events: mpsc::Sender<BrokerEvent>,
     pub(super) multicore: Multicore,
+    pub(super) running_queries: Arc<RunningQueries>,
     pub(super) metrics: Arc<Metrics>,
     pub(super) health: Health,
     pub(super) phase: watch::Receiver<Phase>,
@@ -40,6 +42,8 @@
     pub(super) shared_files: Option<(PathBuf, String)>,
     /// Share of the gateway's capacity that this process may use.
     pub(super) capacity_share: watch::Receiver<CapacityShare>,
+    /// Console addresses of the gateway's other processes.
+    pub(super) other_consoles: watch::Receiver<Vec<SocketAddr>>,
     pub(super) stage: watch::Sender<ProcessStage>,
     /// Whether another process of this gateway was running at the start.
     pub(super) is_second: bool,
@@ -72,7 +76,20 @@
         let multicore = Multicore::start(operator.cores).map_err(|error| ServeError::Io("cores", error))?;
         let metrics = Arc::new(Metrics::new(&sockets.classes));
         let (health, log) = (Health::default(), log.clone());
-        Ok(Self { config, operator, deployment, sockets, events, multicore, metrics, health, phase, log })
+        let running_queries = Arc::default();
+        Ok(Self {
+            config,
+            operator,
+            deployment,
+            sockets,
+            events,
+            multicore,
+            running_queries,
+            metrics,
+            health,
+            phase,
+            log,
+        })
     }
 
     /// A logger that adds the name of a module to its records.
@@ -85,19 +102,28 @@
         if self.config.console.is_some() { AddressUse::Shared } else { AddressUse::Exclusive }
     }
 
-    /// Joins the other processes of this gateway. A process without a console takes no part in hot restarts and shares no
-    /// files.
-    pub(super) fn join_process_group(&self) -> ProcessGroup {
+    /// Joins the other processes of this gateway, which reach this one through its console. A process without a console
+    /// takes no part in hot restarts and shares no files.
+    pub(super) fn join_process_group(&self, console: Option<SocketAddr>) -> ProcessGroup {
         let (stage, stage_receiver) = watch::channel(ProcessStage::Starting);
-        if self.config.console.is_none() {
+        let Some(console) = console else {
             let (_, capacity_share) = watch::channel(CapacityShare::default());
-            return ProcessGroup { shared_files: None, capacity_share, stage, is_second: false };
-        }
+            let (_, other_consoles) = watch::channel(Vec::new());
+            return ProcessGroup {
+                shared_files: None,
+                capacity_share,
+                other_consoles,
+                stage,
+                is_second: false,
+            };
+        };
         let folder = self.config.temp_dir.clone();
         let stem = file_stem(&self.config.name, self.config.listen);
         let hot_restart = HotRestart::register(&folder, &stem, self.module_log("hot_restart"));
-        let (capacity_share, is_second) = (hot_restart.share(), hot_restart.has_other_processes());
+        hot_restart.announce_console(console);
+        let (capacity_share, other_consoles) = (hot_restart.share(), hot_restart.other_consoles());
+        let is_second = hot_restart.has_other_processes();
         tokio::spawn(hot_restart.watch(stage_receiver));
-        ProcessGroup { shared_files: Some((folder, stem)), capacity_share, stage, is_second }
+        ProcessGroup { shared_files: Some((folder, stem)), capacity_share, other_consoles, stage, is_second }
     }
 }
--- a/gateway/src/serve/subsystems.rs
+++ b/gateway/src/serve/subsystems.rs
@@ -5,13 +5,13 @@
 use super::listeners::{AddressUse, listen};
 use crate::broker::{Broker, BrokerContext, RecoverySetup, RequestQueue};
 use crate::console::Console;
-use crate::discovery::DiscoverySource;
+use crate::discovery::{self, DiscoverySource};
 use crate::discovery::endpoint_list::EndpointList;
 use crate::drain_guard::DrainGuards;
 use crate::engine::{flight, resp};
 use crate::front;
 use crate::front::flight::Service;
-use crate::front::mysql::Front;
+use crate::front::mysql::{Front, QueryKiller};
 use crate::gossip::{GossipContext, GossipGroup, GossipTask};
 use crate::hot_restart::HANDOVER_DELAY;
 use crate::message::{BrokerEvent, EndpointMailbox, EngineTransport, GossipHandle};
@@ -107,6 +107,16 @@
         Ok(registry)
     }
 
+    /// Starts the polling of the name server.
+    pub(super) fn start_discovery(
+        &self,
+        sources: watch::Receiver<DiscoverySource>,
+        registry: EndpointRegistry,
+    ) {
+        let log = self.module_log("discovery");
+        tokio::spawn(discovery::poll_endpoint_list(sources, registry, self.config.seed, log));
+    }
+
     pub(super) fn start_gossip(
         &self,
         group: GossipGroup,
@@ -164,16 +174,21 @@
         Ok(Some(RecoverySetup { persisted_events, keys: snapshot.keys, has_name_server, health }))
     }
 
+    /// Listens at the console's address, if there is a console. Connections wait until it is started.
+    pub(super) fn listen_for_console(&self) -> Result<Option<(TcpListener, SocketAddr)>, ServeError> {
+        self.config.console.map(|address| listen(address, AddressUse::Exclusive)).transpose()
+    }
+
     pub(super) fn start_console(
         &self,
+        listener: Option<(TcpListener, SocketAddr)>,
         registry: &EndpointRegistry,
-    ) -> Result<Option<SocketAddr>, ServeError> {
-        let Some(address) = self.config.console else { return Ok(None) };
-        let (listener, address) = listen(address, AddressUse::Exclusive)?;
+    ) {
+        let Some((listener, _)) = listener else { return };
         let (health, metrics) = (self.health.clone(), self.metrics.clone());
-        let console = Console::new(health, metrics, registry.clone(), self.module_log("console"));
+        let (running_queries, log) = (self.running_queries.clone(), self.module_log("console"));
+        let console = Console::new(health, metrics, registry.clone(), running_queries, log);
         tokio::spawn(Arc::new(console).serve(listener));
-        Ok(Some(address))
     }
 
     pub(super) fn engine_transport(&self) -> Box<dyn EngineTransport> {
@@ -243,7 +258,13 @@
         let (session_guard, sessions_closed) = mpsc::channel(1);
         let (listener, mysql) = listen(self.config.listen, self.address_use())?;
         let flight = self.start_flight_front(&request_queue, &session_guard)?;
-        self.start_mysql_front(listener, request_queue, quotas, process_group, session_guard);
+        let (deployment, limits) = (self.deployment.clone(), &self.config.limits);
+        let (multicore, log) = (self.multicore.clone(), self.log.clone());
+        let (running, other_consoles) = (self.running_queries.clone(), process_group.other_consoles.clone());
+        let query_killer = QueryKiller::new(running, other_consoles, self.module_log("mysql"));
+        let front = Front::new(request_queue, deployment, quotas, limits, query_killer, multicore, log);
+        let (phase, share) = (self.phase.clone(), process_group.capacity_share.clone());
+        tokio::spawn(Arc::new(front).serve(listener, phase, share, session_guard));
         Ok(Fronts { mysql, flight, sessions_closed })
     }
 
@@ -260,19 +281,4 @@
         tokio::spawn(front::flight::serve(listener, service, options, multicore, phase, session_guard, log));
         Ok(Some(address))
     }
-
-    pub(super) fn start_mysql_front(
-        &self,
-        listener: TcpListener,
-        request_queue: RequestQueue,
-        quotas: Option<Arc<QuotaManager>>,
-        process_group: &ProcessGroup,
-        session_guard: mpsc::Sender<()>,
-    ) {
-        let (deployment, limits, seed) = (self.deployment.clone(), &self.config.limits, self.config.seed);
-        let (multicore, log) = (self.multicore.clone(), self.log.clone());
-        let front = Front::new(request_queue, deployment, quotas, limits, seed, multicore, log);
-        let (phase, share) = (self.phase.clone(), process_group.capacity_share.clone());
-        tokio::spawn(Arc::new(front).serve(listener, phase, share, session_guard));
-    }
 }
--- a/gateway/tests/operation/hot_restart.rs
+++ b/gateway/tests/operation/hot_restart.rs
@@ -9,6 +9,9 @@
 use reedwalk_gateway::config::Config;
 use reedwalk_gateway::limits::Limits;
 use reedwalk_gateway::operator::OperatorConfig;
+use reedwalk_testkit::model::Shape;
+use reedwalk_testkit::request_log::RequestLog;
+use reedwalk_testkit::resp::start_modelled_engine;
 use std::path::Path;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
@@ -144,6 +147,56 @@
     assert!(succeeds(new.console(), "HEALTH").await);
 }
 
+/// Guards against a KILL QUERY that reaches the other process of a hot restart, is answered with OK, and cancels nothing:
+/// the old process then sent the cancelled batch to an engine.
+#[tokio::test]
+async fn kill_query_cancels_a_queued_batch_of_the_other_process() {
+    let record = RequestLog::default();
+    let shape = Shape { cores: 8.0, ..Shape::default() };
+    let engine = start_modelled_engine("a", Some(shape), record.clone()).await;
+    let site = SharedSite::new(&[engine.address], 256);
+    let mut old = site.start();
+    let mut first = Client::connect(site.listen).await;
+    let mut second = Client::connect(site.listen).await;
+    let _new = site.start();
+    // The second batch waits in the old process until the first has released its tables.
+    let batch = |key: &str, work: &str| {
+        fields("batch-post", 6000, Some(key), &format!("INSERT INTO sales_17.orders VALUES (1) WORK {work}"))
+    };
+    first.send_query(&batch("key-1", "1500")).await;
+    until("the first batch is in flight", || record.attempts_at("a") == 1).await;
+    second.send_query(&batch("key-2", "10")).await;
+    wait_for_metrics(old.console(), "both batches", |m| m["pending"] == 2).await;
+    old.signal("-TERM");
+    until("the old process is shutting down", || old.logged("shutdown started") > 0).await;
+    let kill = format!("KILL QUERY {}", second.id);
+    let mut killer = site.connect_to_only_listener().await;
+    assert_eq!(killer.query(&kill).await, Ok(Vec::new()));
+    let answered = tokio::time::timeout(Duration::from_millis(100), second.answer()).await;
+    assert_eq!(answered.expect("the batch was not cancelled").unwrap_err().0, 1317);
+    assert!(first.answer().await.is_ok());
+    drop((first, second));
+    assert_eq!(old.exit_code().await, Some(0));
+    assert_eq!(record.attempts_at("a"), 1, "the cancelled batch was sent to the engine");
+}
+
+/// As above, in the other direction: the query runs in the new process and the command reaches the old one.
+#[tokio::test]
+async fn kill_query_that_reaches_the_old_process_cancels_a_query_of_the_new_one() {
+    let test_bed = TestBed::default();
+    let site = SharedSite::new(&resp_engines(&test_bed).await, 256);
+    let old = site.start();
+    let mut killer = Client::connect(site.listen).await;
+    let _new = site.start();
+    old.signal("-TERM");
+    let mut client = site.connect_to_only_listener().await;
+    client.send_query(&fields("statement", 9000, None, "HANG 1")).await;
+    until("the attempt is in flight", || test_bed.attempts("HANG 1") == 1).await;
+    assert_eq!(killer.query(&format!("KILL QUERY {}", client.id)).await, Ok(Vec::new()));
+    assert_eq!(client.answer().await.unwrap_err().0, 1317);
+    until("the attempt is cancelled at the engine", || test_bed.was_cancelled("HANG 1")).await;
+}
+
 #[tokio::test]
 async fn without_a_console_nothing_is_stored_and_the_address_is_not_shared() {
     let test_bed = TestBed::default();
--- a/gateway/tests/operation/shared_site.rs
+++ b/gateway/tests/operation/shared_site.rs
@@ -13,6 +13,9 @@
 /// Number of clients of a [`Load`].
 const CLIENTS: usize = 12;
 
+/// The state of a listening socket in `/proc/net/tcp`.
+const TCP_LISTEN: &str = "0A";
+
 /// A gateway whose processes share a folder and the address for clients.
 pub struct SharedSite {
     folder: PathBuf,
@@ -41,12 +44,29 @@
         Process::start(&self.config, &self.folder, None)
     }
 
+    /// Waits until only one process listens at the address for clients, and connects to it.
+    pub async fn connect_to_only_listener(&self) -> Client {
+        until("one process listens", || listening_sockets(self.listen.port()) == 1).await;
+        Client::connect(self.listen).await
+    }
+
     /// The file in which operator overrides are stored.
     pub fn override_file(&self) -> PathBuf {
         self.folder.join(format!("reedwalk-n0-127.0.0.1-{}.words", self.listen.port()))
     }
 }
 
+/// Number of sockets that listen on this port of an IPv4 address, as the kernel reports them.
+fn listening_sockets(port: u16) -> usize {
+    let local_port = format!(":{port:04X}");
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let is_listening = |line: &&str| {
+        let fields: Vec<_> = line.split_whitespace().collect();
+        fields[1].ends_with(&local_port) && fields[3] == TCP_LISTEN
+    };
+    table.lines().skip(1).filter(is_listening).count()
+}
+
 /// Load from clients that open a connection for each request and from clients that reuse their connection.
 pub struct Load {
     counters: Arc<LoadCounters>,
--- a/gateway/tests/registry.rs
+++ b/gateway/tests/registry.rs
@@ -218,6 +218,7 @@
             match parse_command(line) {
                 Ok(Command::Offline(id) | Command::Online(id)) => prop_assert!(!id.is_empty() && !id.contains(' ')),
                 Ok(Command::Health | Command::Dump) => prop_assert!(line.len() >= 4),
+                Ok(Command::Kill(id)) => prop_assert!(String::from_utf8_lossy(line).contains(&id.to_string())),
                 // The reason is a single line for any input.
                 Err(error) => prop_assert!(!error.to_string().contains('\n')),
             }
