Hand a KILL QUERY to the session of its query, on whichever core it runs

What callers saw: with several cores a KILL QUERY written right behind its query was answered with OK and had no effect; the query ran on until its client closed.

The command looked in a table that a session enters after it has read its query (running_queries.rs), and letting other tasks run first (yield_now) does nothing for a session on another core.

Change: sessions are registered from their start, and the command is handed to the session, which cancels the query that it runs, or answers the one that it is receiving as interrupted, or says that it has none.

Why it works: what a client wrote before the command is in the session's socket by the time at which the session handles it.

--- a/gateway/src/console/mod.rs
+++ b/gateway/src/console/mod.rs
@@ -7,7 +7,7 @@
 use crate::health::Health;
 use crate::metrics::Metrics;
 use crate::registry::{EndpointRegistry, OverrideError};
-use crate::running_queries::RunningQueries;
+use crate::session_registry::{KillResult, SessionRegistry};
 use bytes::BytesMut;
 use line::{Command, CommandParseError};
 use reedwalk_operations::Override;
@@ -98,7 +98,7 @@
     health: Health,
     metrics: Arc<Metrics>,
     registry: EndpointRegistry,
-    running_queries: Arc<RunningQueries>,
+    sessions: Arc<SessionRegistry>,
     connections: Mutex<Connections>,
     log: Logger,
 }
@@ -162,10 +162,10 @@
         health: Health,
         metrics: Arc<Metrics>,
         registry: EndpointRegistry,
-        running_queries: Arc<RunningQueries>,
+        sessions: Arc<SessionRegistry>,
         log: Logger,
     ) -> Self {
-        Self { health, metrics, registry, running_queries, connections: Mutex::default(), log }
+        Self { health, metrics, registry, sessions, connections: Mutex::default(), log }
     }
 
     fn connections(&self) -> std::sync::MutexGuard<'_, Connections> {
@@ -245,10 +245,10 @@
             }
             Command::Offline(id) => self.set_override(&id, Override::Out).await,
             Command::Online(id) => self.set_override(&id, Override::Returned).await,
-            Command::Kill(connection_id) if self.running_queries.kill(connection_id).await => {
-                Ok(SUCCESS_LINE.into())
-            }
-            Command::Kill(_) => Err(CommandError::NoRunningQuery),
+            Command::Kill(connection_id) => match self.sessions.kill(connection_id).await {
+                KillResult::Killed => Ok(SUCCESS_LINE.into()),
+                KillResult::Idle | KillResult::UnknownConnection => Err(CommandError::NoRunningQuery),
+            },
         }
     }
 
--- a/gateway/src/front/mysql/kill_query.rs
+++ b/gateway/src/front/mysql/kill_query.rs
@@ -3,7 +3,7 @@
 //! passed on through that process's console.
 
 use crate::console::{self, send_command};
-use crate::running_queries::RunningQueries;
+use crate::session_registry::{KillResult, RegisteredSession, SessionRegistry};
 use futures::future::join_all;
 use slog::{Logger, debug};
 use std::net::SocketAddr;
@@ -32,35 +32,35 @@
 /// Cancels queries of this process, and passes commands for others on to the gateway's other processes.
 #[derive(Debug)]
 pub struct QueryKiller {
-    running: Arc<RunningQueries>,
+    sessions: Arc<SessionRegistry>,
     other_consoles: watch::Receiver<Vec<SocketAddr>>,
     forward_permits: Semaphore,
     log: Logger,
 }
 
 impl QueryKiller {
-    /// Creates a killer of these queries and of those of the processes with these consoles.
+    /// Creates a killer of the queries of these sessions and of those of the processes with these consoles.
     pub fn new(
-        running: Arc<RunningQueries>,
+        sessions: Arc<SessionRegistry>,
         other_consoles: watch::Receiver<Vec<SocketAddr>>,
         log: Logger,
     ) -> Self {
-        Self { running, other_consoles, forward_permits: Semaphore::new(MAX_FORWARDED), log }
+        Self { sessions, other_consoles, forward_permits: Semaphore::new(MAX_FORWARDED), log }
     }
 
-    /// The running queries of this process.
-    pub fn running(&self) -> &RunningQueries {
-        &self.running
+    /// Registers a new session of this process, whose queries can be cancelled from then on.
+    pub fn register(&self, connection_id: u32) -> RegisteredSession {
+        self.sessions.register(connection_id)
     }
 
     /// Cancels the query of a connection, in whichever process of this gateway it runs.
     pub async fn kill(&self, connection_id: u32) -> KillOutcome {
-        let outcome = if self.running.kill(connection_id).await {
-            KillOutcome::KilledHere
-        } else if self.kill_in_other_processes(connection_id).await {
-            KillOutcome::KilledInOtherProcess
-        } else {
-            KillOutcome::NotFound
+        let outcome = match self.sessions.kill(connection_id).await {
+            KillResult::Killed => KillOutcome::KilledHere,
+            KillResult::UnknownConnection if self.kill_in_other_processes(connection_id).await => {
+                KillOutcome::KilledInOtherProcess
+            }
+            KillResult::Idle | KillResult::UnknownConnection => KillOutcome::NotFound,
         };
         debug!(self.log, "query kill handled"; "connection" => connection_id, "outcome" => ?outcome);
         outcome
--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -10,6 +10,7 @@
 use crate::front::sql;
 use crate::message::{Failure, Request, Response};
 use crate::metrics::RequestOutcome;
+use crate::session_registry::{KillResult, RegisteredSession};
 use crate::shutdown::{Phase, wait_until_closing_after};
 use bytes::{Bytes, BytesMut};
 use reedwalk_settings::duration_from_ms;
@@ -74,6 +75,9 @@
     stream: TcpStream,
     id: u32,
     slot: SessionSlot,
+    registration: RegisteredSession,
+    /// Whether the command that the client is sending was cancelled before it was read.
+    next_is_killed: bool,
     connected_at: Instant,
     /// Whether the client has sent a valid query, ping or database selection.
     has_sent_command: bool,
@@ -96,6 +100,8 @@
             stream,
             id,
             slot,
+            registration: front.query_killer.register(id),
+            next_is_killed: false,
             connected_at,
             has_sent_command: false,
             team: Arc::from(""),
@@ -132,8 +138,9 @@
         }
         loop {
             let ReceivedCommand { packet, memory } = self.next_command(phase).await?;
+            let is_killed = std::mem::take(&mut self.next_is_killed);
             match packet::read_command(packet)? {
-                Command::Query(text) => self.handle_query(text).await?,
+                Command::Query(text) => self.handle_query(text, is_killed).await?,
                 Command::Quit => return Ok(()),
                 Command::Ping | Command::UseDatabase => {
                     self.has_sent_command = true;
@@ -207,6 +214,7 @@
         // A client that connects during the shutdown gets time to send its first request.
         let open_until = if self.has_sent_command { connected_at } else { connected_at + LOGIN_TIMEOUT };
         let evicted = self.slot.evicted.clone();
+        let kill_requests = self.registration.kill_requests.clone();
         let (mut memory, mut message_deadline) = (None, None);
         loop {
             let size = packet::payload_size(&self.input, 0)?;
@@ -227,6 +235,7 @@
             tokio::select! {
                 biased;
                 read = self.read_input() => read?,
+                () = kill_requests.arrived() => self.kill_next_command(),
                 () = evicted.notified() => return Err(SessionEnd::Evicted),
                 () = wait_until_closing_after(phase, open_until), if is_idle => {
                     if !self.has_unread_bytes() {
@@ -241,6 +250,14 @@
         }
     }
 
+    /// Handles a KILL QUERY while no query runs. It was meant for the command that the client is sending, if there is one.
+    fn kill_next_command(&mut self) {
+        let is_sending = !self.input.is_empty() || self.has_unread_bytes();
+        self.next_is_killed |= is_sending;
+        let result = if is_sending { KillResult::Killed } else { KillResult::Idle };
+        self.registration.kill_requests.finish(result);
+    }
+
     /// Returns whether the socket has unread bytes. It asks the kernel, because the readiness cached by the runtime may
     /// be out of date, and closing the connection would then lose a request that has just arrived.
     fn has_unread_bytes(&self) -> bool {
@@ -248,12 +265,11 @@
         matches!(SockRef::from(&self.stream).peek(&mut byte), Ok(length) if length > 0)
     }
 
-    async fn handle_query(&mut self, text: Bytes) -> Result<(), SessionEnd> {
+    /// Answers a statement. `is_killed` is set if it was cancelled before it was read.
+    async fn handle_query(&mut self, text: Bytes, is_killed: bool) -> Result<(), SessionEnd> {
         let now = Instant::now();
         if let Some(connection_id) = sql::kill_query(&text) {
-            // Success is reported also if no query is running there; a killed query's own client receives the error.
-            self.front.query_killer.kill(connection_id).await;
-            Writer::new(&mut self.output, 1).ok(0);
+            self.handle_kill_query(connection_id).await;
             return Ok(());
         }
         let request = match self.read_request(&text, now) {
@@ -264,6 +280,11 @@
             }
         };
         self.has_sent_command = true;
+        if is_killed {
+            self.front.request_queue.count_unqueued(request.class, RequestOutcome::Failed);
+            self.write_interrupted();
+            return Ok(());
+        }
         let deadline = request.deadline;
         let mut pending = match self.front.request_queue.submit(request) {
             Ok(pending) => pending,
@@ -273,19 +294,37 @@
             }
         };
         let response = self.wait_for_response(&mut pending, deadline + BROKER_STALL_GRACE).await;
-        self.front.query_killer.running().remove(self.id);
         if let Err(SessionEnd::ProtocolError(_)) = &response {
             pending.fail(Failure::Engine);
         }
         match response? {
             Some(response) => write_response(&mut self.output, response),
-            None => {
-                Writer::new(&mut self.output, 1).error(1317, b"70100", "query execution was interrupted");
-            }
+            None => self.write_interrupted(),
         }
         self.flush(deadline.max(now) + RESPONSE_WRITE_TIMEOUT).await
     }
 
+    /// Answers a query that was killed.
+    fn write_interrupted(&mut self) {
+        Writer::new(&mut self.output, 1).error(1317, b"70100", "query execution was interrupted");
+    }
+
+    /// Kills the query of another connection and reports success, also if no query is running there. The client of a
+    /// killed query receives the error on its own connection.
+    async fn handle_kill_query(&mut self, connection_id: u32) {
+        let kill_requests = &self.registration.kill_requests;
+        let kill = self.front.query_killer.kill(connection_id);
+        tokio::pin!(kill);
+        loop {
+            tokio::select! {
+                _ = &mut kill => break,
+                // This session has no query. Two sessions that kill each other's must not wait for one another.
+                () = kill_requests.arrived() => kill_requests.finish(KillResult::Idle),
+            }
+        }
+        Writer::new(&mut self.output, 1).ok(0);
+    }
+
     /// Waits for the response until `deadline`; returns `None` if the query was killed. Fails if the client disconnects
     /// meanwhile.
     async fn wait_for_response(
@@ -294,7 +333,7 @@
         deadline: Instant,
     ) -> Result<Option<Response>, SessionEnd> {
         let broker_on_other_core = self.front.cores.is_multicore();
-        let mut killed = self.front.query_killer.running().insert(self.id);
+        let kill_requests = self.registration.kill_requests.clone();
         loop {
             if self.input.len() > MAX_READ_AHEAD_BYTES {
                 return Err(ProtocolError("too much sent ahead of the answer").into());
@@ -304,10 +343,11 @@
                 response = pending.response() => {
                     return response.map(Some).ok_or(SessionEnd::ClosedByGateway);
                 }
-                kill = &mut killed => if kill.is_ok() {
+                () = kill_requests.arrived() => {
                     pending.fail(Failure::Engine);
+                    kill_requests.finish(KillResult::Killed);
                     return Ok(None);
-                },
+                }
                 () = sleep_until(deadline), if broker_on_other_core => {
                     return Ok(Some(pending.fail(Failure::Deadline)));
                 }
--- a/gateway/src/serve/base.rs
+++ b/gateway/src/serve/base.rs
@@ -10,7 +10,7 @@
 use crate::metrics::Metrics;
 use crate::multicore::Multicore;
 use crate::operator::OperatorConfig;
-use crate::running_queries::RunningQueries;
+use crate::session_registry::SessionRegistry;
 use crate::shutdown::Phase;
 use reedwalk_operations::{CapacityShare, ProcessStage};
 use reedwalk_scheduler::EngineObservation;
@@ -29,7 +29,7 @@
     pub(super) sockets: Arc<Sockets>,
     pub(super) events: mpsc::Sender<BrokerEvent>,
     pub(super) multicore: Multicore,
-    pub(super) running_queries: Arc<RunningQueries>,
+    pub(super) sessions: Arc<SessionRegistry>,
     pub(super) metrics: Arc<Metrics>,
     pub(super) health: Health,
     pub(super) phase: watch::Receiver<Phase>,
@@ -76,7 +76,7 @@
         let multicore = Multicore::start(operator.cores).map_err(|error| ServeError::Io("cores", error))?;
         let metrics = Arc::new(Metrics::new(&sockets.classes));
         let (health, log) = (Health::default(), log.clone());
-        let running_queries = Arc::default();
+        let sessions = Arc::default();
         Ok(Self {
             config,
             operator,
@@ -84,7 +84,7 @@
             sockets,
             events,
             multicore,
-            running_queries,
+            sessions,
             metrics,
             health,
             phase,
--- a/gateway/src/serve/subsystems.rs
+++ b/gateway/src/serve/subsystems.rs
@@ -5,8 +5,8 @@
 use super::listeners::{AddressUse, listen};
 use crate::broker::{Broker, BrokerContext, RecoverySetup, RequestQueue};
 use crate::console::Console;
-use crate::discovery::{self, DiscoverySource};
 use crate::discovery::endpoint_list::EndpointList;
+use crate::discovery::{self, DiscoverySource};
 use crate::drain_guard::DrainGuards;
 use crate::engine::{flight, resp};
 use crate::front;
@@ -186,8 +186,8 @@
     ) {
         let Some((listener, _)) = listener else { return };
         let (health, metrics) = (self.health.clone(), self.metrics.clone());
-        let (running_queries, log) = (self.running_queries.clone(), self.module_log("console"));
-        let console = Console::new(health, metrics, registry.clone(), running_queries, log);
+        let (sessions, log) = (self.sessions.clone(), self.module_log("console"));
+        let console = Console::new(health, metrics, registry.clone(), sessions, log);
         tokio::spawn(Arc::new(console).serve(listener));
     }
 
@@ -260,8 +260,8 @@
         let flight = self.start_flight_front(&request_queue, &session_guard)?;
         let (deployment, limits) = (self.deployment.clone(), &self.config.limits);
         let (multicore, log) = (self.multicore.clone(), self.log.clone());
-        let (running, other_consoles) = (self.running_queries.clone(), process_group.other_consoles.clone());
-        let query_killer = QueryKiller::new(running, other_consoles, self.module_log("mysql"));
+        let (sessions, other_consoles) = (self.sessions.clone(), process_group.other_consoles.clone());
+        let query_killer = QueryKiller::new(sessions, other_consoles, self.module_log("mysql"));
         let front = Front::new(request_queue, deployment, quotas, limits, query_killer, multicore, log);
         let (phase, share) = (self.phase.clone(), process_group.capacity_share.clone());
         tokio::spawn(Arc::new(front).serve(listener, phase, share, session_guard));
--- a/gateway/tests/multicore/sessions.rs
+++ b/gateway/tests/multicore/sessions.rs
@@ -1,7 +1,7 @@
 //! Cancels, shutdown, reloads and limits apply to the sessions on all cores.
 
 use crate::operator_with_cores;
-use crate::support::mysql::{Client, fields};
+use crate::support::mysql::{Client, fields, query_packet};
 use crate::support::{
     Outcome, TestBed, config, discovery_server, endpoint_list, gateway, listed, resp, resp_engines, until,
 };
@@ -40,6 +40,43 @@
     until("the attempt is cancelled at the engine", || test_bed.was_cancelled("HANG 1")).await;
 }
 
+/// Guards against a KILL QUERY that is handled on its core before the query has been read on another one, and is lost.
+#[tokio::test]
+async fn kill_query_written_right_behind_its_query_works_across_cores() {
+    let test_bed = TestBed::default();
+    let engine = resp::start_engine("a", test_bed.clone()).await;
+    let running = gateway(config(&[engine]), operator_with_cores(4)).await;
+    for n in 0..20 {
+        let mut client = Client::connect(running.mysql).await;
+        let mut killer = Client::connect(running.mysql).await;
+        let query = query_packet(&fields("lookup", 3000, None, &format!("HANG {n}")));
+        let kill = query_packet(&format!("KILL QUERY {}", client.id));
+        // Nothing is awaited between these lines.
+        assert_eq!(client.stream.try_write(&query).unwrap(), query.len());
+        assert_eq!(killer.stream.try_write(&kill).unwrap(), kill.len());
+        assert_eq!(killer.answer().await, Ok(Vec::new()));
+        assert_eq!(client.answer().await.unwrap_err().0, 1317, "query {n} was not cancelled");
+    }
+}
+
+#[tokio::test]
+async fn two_sessions_that_kill_each_other_are_both_answered_at_once() {
+    let test_bed = TestBed::default();
+    let engine = resp::start_engine("a", test_bed.clone()).await;
+    let running = gateway(config(&[engine]), operator_with_cores(4)).await;
+    let (mut one, mut other) = (Client::connect(running.mysql).await, Client::connect(running.mysql).await);
+    for _ in 0..20 {
+        let started_at = Instant::now();
+        let (kill_other, kill_one) = (format!("KILL QUERY {}", other.id), format!("KILL QUERY {}", one.id));
+        one.send_query(&kill_other).await;
+        other.send_query(&kill_one).await;
+        assert_eq!((one.answer().await, other.answer().await), (Ok(Vec::new()), Ok(Vec::new())));
+        // A session may kill its own query, of which there is none here.
+        assert_eq!(one.query(&kill_one).await, Ok(Vec::new()));
+        assert!(started_at.elapsed() < Duration::from_millis(200), "{:?}", started_at.elapsed());
+    }
+}
+
 #[tokio::test]
 async fn shutdown_finishes_requests_on_all_cores() {
     let record = RequestLog::default();
