Count an attempt as sent once an engine on Flight SQL has answered its first call

With no other engine the client was told that trying again is harmless.

Cause: engine/flight/call.rs repeated the check that guards the sending of an attempt before the first DoGet, and a closed drain guard ended the attempt as NeverSent. Flight SQL leaves open in which call a statement runs. Other ends of the first DoGet (no connection, RESOURCE_EXHAUSTED) counted as proof that nothing ran in the same way.

Ruled out: a deadline, an error of the engine; the drain guard and the scheduler did what they are told, and are unchanged.

Change: the check stands before the first call only; DoGet is made also while the engine drains, and no error of it proves that nothing ran. Past its write deadline the attempt ends as TimedOut. The test engine rejected statements in DoGet, which hid the fault; it now rejects them in GetFlightInfo (the expectations of the tests are unchanged) and can run statements there.

--- a/gateway/src/engine/flight/call.rs
+++ b/gateway/src/engine/flight/call.rs
@@ -120,24 +120,28 @@
         request
     }
 
-    /// Checks whether the attempt may still be sent, immediately before the call that makes the engine run the statement.
+    /// Checks whether the attempt may still be sent, immediately before its first call: from that call on the engine may
+    /// run the statement.
     fn check_send(&mut self) -> Result<(), CallError> {
         let now = Instant::now();
-        let may_send = self.drain_guard.is_open(now)
-            && now < self.attempt.write_deadline
-            && !self.attempt.cancelled.is_cancelled();
-        if !may_send {
+        if !self.drain_guard.is_open(now) || !self.is_wanted(now) {
             return Err(CallError::NotSent);
         }
         self.was_sent = true;
         Ok(())
     }
 
+    /// Whether the attempt has been neither cancelled nor delayed past its write deadline.
+    fn is_wanted(&self, now: Instant) -> bool {
+        now < self.attempt.write_deadline && !self.attempt.cancelled.is_cancelled()
+    }
+
     fn statement(&self) -> Result<String, CallError> {
         String::from_utf8(self.attempt.statement.to_vec()).map_err(|_| CallError::InvalidResponse)
     }
 
-    /// Calls GetFlightInfo, then DoGet for each returned endpoint. Returns only complete results.
+    /// Calls GetFlightInfo, then DoGet for each returned endpoint. Returns only complete results. Flight SQL leaves open
+    /// in which of the calls the engine runs the statement, so once GetFlightInfo has been answered it may have run.
     async fn query(&mut self) -> Result<QueryResponse, CallError> {
         let command = CommandStatementQuery { query: self.statement()?, transaction_id: None };
         let descriptor = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
@@ -148,27 +152,21 @@
         self.read_activity.record_read();
         let (mut result, mut metadata) = (ResultBatches::default(), MetadataMap::new());
         let tickets = info.endpoint.into_iter().filter_map(|endpoint| endpoint.ticket);
-        for (index, ticket) in tickets.enumerate() {
-            metadata = self.fetch(ticket, index == 0, &mut result).await?;
+        for ticket in tickets {
+            metadata = self.fetch(ticket, &mut result).await?;
         }
         Ok(QueryResponse { metadata, rows: read_rows(result.batches)? })
     }
 
-    /// Calls DoGet for one endpoint, appends its batches to `result` and returns its metadata. Only the first call
-    /// starts the query and needs the check before it; later ones belong to a query that is already running.
-    async fn fetch(
-        &mut self,
-        ticket: Ticket,
-        is_first: bool,
-        result: &mut ResultBatches,
-    ) -> Result<MetadataMap, CallError> {
-        let request = self.request(ticket);
-        if is_first {
-            self.check_send()?;
+    /// Calls DoGet for one endpoint, appends its batches to `result` and returns its metadata. The engine has accepted
+    /// the attempt, so the call is made also while the engine drains, and no error of it proves that nothing ran.
+    async fn fetch(&mut self, ticket: Ticket, result: &mut ResultBatches) -> Result<MetadataMap, CallError> {
+        if !self.is_wanted(Instant::now()) {
+            return Err(CallError::OutOfTime);
         }
-        let call_error =
-            if is_first { CallError::before_response } else { CallError::after_response_started };
-        let (metadata, body, _) = self.client.do_get(request).await.map_err(call_error)?.into_parts();
+        let request = self.request(ticket);
+        let response = self.client.do_get(request).await.map_err(CallError::after_response_started)?;
+        let (metadata, body, _) = response.into_parts();
         self.read_activity.record_read();
         let body = body.map_err(FlightError::from);
         let mut stream = FlightRecordBatchStream::new_from_flight_data(body);
@@ -211,6 +209,7 @@
         },
         Err(CallError::InvalidResponse) => Outcome::Error.into(),
         Err(CallError::NotSent) => Outcome::NeverSent.into(),
+        Err(CallError::OutOfTime) => Outcome::TimedOut.into(),
         Err(CallError::Status { status, response_started }) => AttemptResult {
             outcome: outcome_of(&status, response_started),
             usage: None,
--- a/gateway/src/engine/flight/error.rs
+++ b/gateway/src/engine/flight/error.rs
@@ -10,8 +10,10 @@
     Status { status: Box<Status>, response_started: bool },
     /// The response is invalid or too large, or the statement is not valid UTF-8.
     InvalidResponse,
-    /// The attempt was cancelled, passed its write deadline, or its engine drained, before the call was made.
+    /// The attempt was cancelled, passed its write deadline, or its engine drained, before its first call was made.
     NotSent,
+    /// The attempt was cancelled or passed its write deadline after its first call had been answered.
+    OutOfTime,
 }
 
 impl CallError {
--- a/gateway/tests/flight_front.rs
+++ b/gateway/tests/flight_front.rs
@@ -133,6 +133,43 @@
     assert_eq!(test_bed.attempts_at("a"), sent);
 }
 
+/// Guards against a second run of a statement that must not be repeated: its engine, which ran it in GetFlightInfo,
+/// drained meanwhile, and the attempt counted as never sent.
+#[tokio::test]
+async fn statement_that_its_engine_has_run_is_fetched_although_the_engine_drains() {
+    let test_bed = TestBed::default();
+    let [a, b] = flight_engines(&test_bed).await;
+    let list = endpoint_list(1, vec![listed("s-0", a), listed("s-1", b)]);
+    let (server, _) = discovery_server::start_server(list.clone()).await;
+    let config = Config { name_server: Some(server), ..config(&[a, b]) };
+    let gateway = gateway(config, both_protocols(EngineProtocol::FlightSql)).await;
+    let mut client = mysql::Client::connect(gateway.mysql).await;
+    client.send_query(&fields("adjust", 2900, None, "EAGER 1")).await;
+    until("an engine runs the statement", || test_bed.attempts("EAGER 1") == 1).await;
+    {
+        let mut list = list.lock().unwrap();
+        let runs_at_first = test_bed.attempts_at("a") == 1;
+        list.0 = 2;
+        list.1[usize::from(!runs_at_first)].draining = true;
+    }
+    assert_eq!(client.answer().await.map(|rows| rows.len()), Ok(600));
+    assert_eq!(test_bed.attempts("EAGER 1"), 1, "the statement ran at two engines");
+}
+
+/// Guards against a second run of a statement that must not be repeated: its engine ran it in GetFlightInfo and then
+/// rejected DoGet, which counted as proof that nothing had run.
+#[tokio::test]
+async fn rejected_do_get_does_not_prove_that_nothing_ran() {
+    let test_bed = TestBed::default();
+    let (_gateway, client) = with_engines(&test_bed).await;
+    let once = client.with_class("adjust", None).query("EAGERFULL 1").await;
+    assert_eq!(outcome(once), Outcome::Failed("ENGINE"));
+    assert_eq!(test_bed.attempts("EAGERFULL 1"), 1, "the statement ran at two engines");
+    // A statement that may be repeated is retried.
+    let _ = client.with_class("statement", None).query("EAGERFULL 2").await;
+    assert!(test_bed.attempts("EAGERFULL 2") > 1);
+}
+
 #[tokio::test]
 async fn engine_in_slow_start_is_not_overloaded() {
     let test_bed = TestBed::default();
--- a/testkit/src/flight.rs
+++ b/testkit/src/flight.rs
@@ -20,6 +20,7 @@
 use prost::Message;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tonic::body::Body;
@@ -34,6 +35,21 @@
 /// Rows that an update changes.
 const UPDATE_COUNT: i64 = 41;
 
+/// First word of statements that an engine runs in `GetFlightInfo`, which it answers after [`INFO_RUN_TIME`].
+const RUN_IN_INFO: &str = "EAGER";
+/// As [`RUN_IN_INFO`], and then every `DoGet` fails with RESOURCE_EXHAUSTED.
+const REJECTED_DO_GET: &str = "EAGERFULL";
+/// First word of statements that a full engine rejects.
+const REJECTED: &str = "BUSY";
+/// How long an engine runs a statement in `GetFlightInfo`: longer than a gateway takes to learn of a drain and to close its
+/// drain guard, half of the 2 s of grace later.
+const INFO_RUN_TIME: Duration = Duration::from_millis(1600);
+
+/// Whether an engine receives a statement in `GetFlightInfo`; it receives others in `DoGet`.
+fn is_received_in_info(statement: &str) -> bool {
+    [RUN_IN_INFO, REJECTED].iter().any(|word| statement.starts_with(word))
+}
+
 /// The service of one connection of an engine.
 #[derive(Clone)]
 struct Engine {
@@ -100,6 +116,9 @@
     async fn receive(&self, statement: &str, metadata: &MetadataMap) -> Result<ScriptedResponse, Status> {
         let key = metadata.get("reedwalk-key").map(|key| key.to_str().unwrap());
         let response = self.test_bed.receive(self.name, statement, key);
+        if statement.starts_with(RUN_IN_INFO) {
+            tokio::time::sleep(INFO_RUN_TIME).await;
+        }
         match response {
             ScriptedResponse::Busy => Err(Status::resource_exhausted("full")),
             ScriptedResponse::Error => Err(Status::internal("broken")),
@@ -124,8 +143,11 @@
     async fn get_flight_info_statement(
         &self,
         query: CommandStatementQuery,
-        _: Request<FlightDescriptor>,
+        request: Request<FlightDescriptor>,
     ) -> Result<Response<FlightInfo>, Status> {
+        if is_received_in_info(&query.query) {
+            self.receive(&query.query, request.metadata()).await?;
+        }
         let ticket = TicketStatementQuery { statement_handle: query.query.into() };
         let endpoint = FlightEndpoint::new().with_ticket(Ticket::new(ticket.as_any().encode_to_vec()));
         Ok(Response::new(FlightInfo::new().with_endpoint(endpoint)))
@@ -137,7 +159,13 @@
         request: Request<Ticket>,
     ) -> Result<Response<<Self as FlightService>::DoGetStream>, Status> {
         let statement = String::from_utf8(ticket.statement_handle.to_vec()).unwrap();
-        let scripted = self.receive(&statement, request.metadata()).await?;
+        let scripted = if !is_received_in_info(&statement) {
+            self.receive(&statement, request.metadata()).await?
+        } else if statement.starts_with(REJECTED_DO_GET) {
+            return Err(Status::resource_exhausted("no room for the result"));
+        } else {
+            ScriptedResponse::Serve
+        };
         let encoder = FlightDataEncoderBuilder::new().build(stream::iter(batches().into_iter().map(Ok)));
         let to_status = |error: FlightError| Status::internal(error.to_string());
         let messages: Vec<_> = encoder.try_collect().await.map_err(to_status)?;
--- a/testkit/src/test_bed.rs
+++ b/testkit/src/test_bed.rs
@@ -82,7 +82,8 @@
 ///
 /// The first word of a statement selects the engine's response: `BUSY`, `ERROR`, `HANG` and `COPY` at every attempt;
 /// `TWICE`, `LATER`, `CUT`, `LOSE`, `NOISE`, `HUGE`, `ENDLESS`, `UNTOLD`, `BEYOND`, `CHUNK` and `HALF` at the first attempt
-/// only; all others are served. All methods panic if a holder of the state has panicked.
+/// only; all others are served. On Flight SQL a statement that begins with `EAGER` runs in `GetFlightInfo`, and one that
+/// begins with `EAGERFULL` is then rejected in `DoGet`. All methods panic if a holder of the state has panicked.
 #[derive(Clone, Default)]
 pub struct TestBed(pub Arc<Mutex<Script>>);
 
