Take a RESP refusal behind a sign of the run as no proof that nothing ran

What callers would see: a second run of a statement of a class `once`, or of a keyed one outside its group, at an engine that contradicts itself.

Cause: on_reply (engine/resp/answers.rs) took a 503 or 504 for proof that a query never ran whatever its engine had sent before: a 200 with the first page, or a report of progress.

Change: an attempt remembers that a reply has shown its run (200, `pct`, `overflow`); a 503 or 504 then ends it as an error. A query that waits for memory or a load has not begun, and its refusal is proof as before.

--- a/gateway/src/engine/resp/answers.rs
+++ b/gateway/src/engine/resp/answers.rs
@@ -5,9 +5,20 @@
 use crate::engine::MAX_RESULT_BYTES;
 use crate::message::{AttemptEvent, AttemptId, AttemptResult, Rows};
 use bytes::Bytes;
-use reedwalk_scheduler::Outcome;
+use reedwalk_scheduler::{Outcome, ProgressReport};
 use std::collections::BTreeMap;
 
+/// Whether a reply shows that the engine has begun to run the query.
+fn shows_begun_query(reply: &Reply) -> bool {
+    match reply.kind {
+        ReplyKind::Ok => true,
+        ReplyKind::Progress => {
+            matches!(reply.progress, Some(ProgressReport::FractionDone(_) | ProgressReport::Spilling(_)))
+        }
+        _ => false,
+    }
+}
+
 impl ConnectionTask {
     /// Processes an array that was read. Arrays whose trace id belongs to no attempt are ignored, whatever their
     /// content. After an error, the attempt has been ended and the connection must be closed: the reply is invalid.
@@ -23,8 +34,10 @@
 
     async fn on_reply(&mut self, reply: Reply) -> Result<(), InvalidReply> {
         let trace_id = reply.trace_id.clone();
-        let Some(attempt) = self.attempts.get(&trace_id) else { return Ok(()) };
-        let (id, has_first_reply) = (attempt.id, attempt.partial_result.is_some());
+        let Some(attempt) = self.attempts.get_mut(&trace_id) else { return Ok(()) };
+        attempt.has_begun |= shows_begun_query(&reply);
+        let (id, has_begun) = (attempt.id, attempt.has_begun);
+        let has_first_reply = attempt.partial_result.is_some();
         match reply.kind {
             ReplyKind::Progress => {
                 if let Some(progress) = reply.progress {
@@ -32,6 +45,10 @@
                 }
                 Ok(())
             }
+            // Contradicts an earlier reply, so it does not prove that the query never ran.
+            ReplyKind::Rejected | ReplyKind::Expired if has_begun => {
+                self.end_failed(&trace_id, Outcome::Error, &reply).await
+            }
             ReplyKind::Rejected => self.end_failed(&trace_id, Outcome::Rejected, &reply).await,
             ReplyKind::Expired => self.end_failed(&trace_id, Outcome::NeverSent, &reply).await,
             ReplyKind::Error => self.end_failed(&trace_id, Outcome::Error, &reply).await,
--- a/gateway/src/engine/resp/connection.rs
+++ b/gateway/src/engine/resp/connection.rs
@@ -51,6 +51,8 @@
     pub(super) id: AttemptId,
     /// Whether its command has been completely written.
     pub(super) written: bool,
+    /// Whether a reply has shown that the engine began to run the query.
+    pub(super) has_begun: bool,
     /// Set once the first reply has been received.
     pub(super) partial_result: Option<Box<PartialResult>>,
 }
@@ -323,7 +325,8 @@
                 let lane = self.sockets.classes.get(attempt.class.0).map_or("", String::as_str);
                 self.write_queue.push_start(&attempt, drain_guard, lane, Instant::now());
                 self.trace_ids.insert(attempt.id, attempt.trace_id.clone());
-                let entry = Attempt { id: attempt.id, written: false, partial_result: None };
+                let entry =
+                    Attempt { id: attempt.id, written: false, has_begun: false, partial_result: None };
                 self.attempts.insert(attempt.trace_id, entry);
             }
             ConnectionCommand::Cancel(id) => {
--- a/gateway/src/engine/resp/tests.rs
+++ b/gateway/src/engine/resp/tests.rs
@@ -257,3 +257,37 @@
     assert_eq!(outcome(&mut events).await, (AttemptId(1), Outcome::Ok));
     flood.abort();
 }
+
+/// Sends one attempt, answers it with these kinds and fields, and returns how it ended.
+async fn outcome_of_replies(replies: &[(&str, &str)]) -> Outcome {
+    let connection = connection().await;
+    connection.commands.try_send(start(&attempt(1, TESTED_ID, 10))).unwrap();
+    let (mut engine, _commands, mut events) = connection.open().await;
+    read_until(&mut engine, TESTED_ID).await;
+    for (kind, fields) in replies {
+        let mut reply = BytesMut::new();
+        super::wire::put_array(&mut reply, &[TESTED_ID.as_bytes(), kind.as_bytes(), fields.as_bytes(), b""]);
+        engine.write_all(&reply).await.unwrap();
+    }
+    outcome(&mut events).await.1
+}
+
+/// Guards against a second run of a query: an engine that had begun or finished it sent 503 or 504 afterwards, which
+/// counted as proof that nothing had run.
+#[tokio::test]
+async fn refusal_after_a_sign_of_the_run_does_not_prove_that_nothing_ran() {
+    for refusal in ["503", "504"] {
+        for (kind, fields) in
+            [("200", "total=2"), ("status", "why=pct,datum=0.4"), ("status", "why=overflow,datum=12")]
+        {
+            let outcome = outcome_of_replies(&[(kind, fields), (refusal, "-")]).await;
+            assert_eq!(outcome, Outcome::Error, "{kind} {fields}, then {refusal}");
+        }
+    }
+    // A query that waits for memory or for a load has not begun.
+    assert_eq!(
+        outcome_of_replies(&[("status", "why=queued,datum=1"), ("503", "-")]).await,
+        Outcome::Rejected
+    );
+    assert_eq!(outcome_of_replies(&[("504", "-")]).await, Outcome::NeverSent);
+}
