Draw the handles of Flight SQL tickets at random

Cause: a handle was the seed of the configuration and a count from 1 (front/flight/ticket.rs), so two processes of one configuration issued the same handles. It could also be guessed by counting.

Change: a handle is 16 random bytes (crate rand). The seed goes no longer into the Flight front.

Why it works: no two processes issue one handle, and a ticket of another process is unknown: INVALID_ARGUMENT, nothing runs.

--- a/gateway/src/front/flight/mod.rs
+++ b/gateway/src/front/flight/mod.rs
@@ -117,7 +117,7 @@
 
 impl Service {
     /// Creates a service that submits its requests to `request_queue`.
-    pub fn new(request_queue: RequestQueue, deployment: Arc<Deployment>, seed: u64) -> Self {
-        Self { request_queue, deployment, tickets: Arc::new(ticket::Tickets::new(seed)) }
+    pub fn new(request_queue: RequestQueue, deployment: Arc<Deployment>) -> Self {
+        Self { request_queue, deployment, tickets: Arc::default() }
     }
 }
--- a/gateway/src/front/flight/ticket.rs
+++ b/gateway/src/front/flight/ticket.rs
@@ -13,7 +13,8 @@
 /// Limit on the entries of the expiry queue, which also contains used tickets.
 const MAX_EXPIRY_ENTRIES: usize = 4 * MAX_TICKETS;
 
-/// Identifies a ticket. The client returns it in `DoGet`.
+/// Identifies a ticket. The client returns it in `DoGet`. It is drawn at random, so that no client can guess the ticket of
+/// another, and no other process of the gateway, before, beside or after this one, issues the same.
 type TicketHandle = [u8; 16];
 
 /// A statement and its request fields.
@@ -28,7 +29,6 @@
     by_handle: HashMap<TicketHandle, Statement>,
     /// Expiry times of the tickets, the earliest first.
     expiry: VecDeque<(Instant, TicketHandle)>,
-    last_number: u64,
 }
 
 impl TicketTable {
@@ -44,20 +44,12 @@
 }
 
 /// The tickets that have been issued and not used yet.
-#[derive(Debug)]
-pub struct Tickets {
-    table: Mutex<TicketTable>,
-    seed: u64,
-}
+#[derive(Debug, Default)]
+pub struct Tickets(Mutex<TicketTable>);
 
 impl Tickets {
-    /// Creates an empty table. `seed` distinguishes the handles of this process from those of others.
-    pub fn new(seed: u64) -> Self {
-        Self { table: Mutex::default(), seed }
-    }
-
     fn lock(&self) -> MutexGuard<'_, TicketTable> {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Stores a statement and returns the handle of its ticket, or `None` if there are too many tickets.
@@ -67,8 +59,7 @@
         if table.is_full() {
             return None;
         }
-        table.last_number += 1;
-        let handle = (u128::from(self.seed) << 64 | u128::from(table.last_number)).to_be_bytes();
+        let handle: TicketHandle = rand::random();
         table.by_handle.insert(handle, statement);
         table.expiry.push_back((now + TICKET_TTL, handle));
         Some(handle)
--- a/gateway/tests/flight_front.rs
+++ b/gateway/tests/flight_front.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use arrow_flight::{Action, FlightDescriptor};
+use arrow_flight::{Action, FlightDescriptor, Ticket};
 use reedwalk_gateway::config::Config;
 use reedwalk_gateway::operator::{EngineProtocol, OperatorConfig};
 use reedwalk_gateway::serve::Running;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use support::flight::{Client, outcome, start_engine};
 use support::mysql::{self, fields};
@@ -16,6 +16,9 @@
 };
 use tonic::Code;
 
+/// Length of a ticket's handle, which is at the end of the ticket.
+const TICKET_HANDLE_BYTES: usize = 16;
+
 /// A gateway with two engines on Flight SQL, and a client of it.
 async fn with_engines(test_bed: &TestBed) -> (Running, Client) {
     let gateway =
@@ -24,6 +27,11 @@
     (gateway, client)
 }
 
+/// The ticket that GetFlightInfo returns for a statement.
+async fn ticket(client: &Client, statement: &str) -> Ticket {
+    client.info(statement).await.unwrap().endpoint[0].ticket.clone().unwrap()
+}
+
 #[tokio::test]
 async fn ticket_runs_its_query_once() {
     let test_bed = TestBed::default();
@@ -38,6 +46,42 @@
     assert_eq!(client.with_class("batch-post", Some("k")).update("INSERT 1").await.unwrap(), 41);
 }
 
+/// Guards against a ticket that another process of the same configuration takes for one of its own: its client was served
+/// with the rows of another client's statement.
+#[tokio::test]
+async fn ticket_of_another_process_of_the_configuration_is_unknown() {
+    let test_bed = TestBed::default();
+    let ((_one, client), (_other, other_client)) =
+        (with_engines(&test_bed).await, with_engines(&test_bed).await);
+    let (client, other_client) =
+        (client.with_class("statement", None), other_client.with_class("statement", None));
+    let mut tickets = Vec::new();
+    for n in 0..8 {
+        tickets.push((ticket(&client, &format!("SELECT {n}")).await, &other_client));
+        tickets.push((ticket(&other_client, &format!("SELECT other {n}")).await, &client));
+    }
+    for (ticket, client_of_other_process) in tickets {
+        let answer = client_of_other_process.get(ticket).await;
+        assert_eq!(answer.map(|_| "rows").unwrap_err().code(), Code::InvalidArgument);
+    }
+    assert_eq!(test_bed.0.lock().unwrap().received.len(), 0, "a statement of another client ran");
+}
+
+/// Guards against tickets that a client can guess from its own.
+#[tokio::test]
+async fn tickets_have_no_common_part() {
+    let test_bed = TestBed::default();
+    let (_gateway, client) = with_engines(&test_bed).await;
+    let client = client.with_class("statement", None);
+    let mut halves = BTreeSet::new();
+    for n in 0..32 {
+        let ticket = ticket(&client, &format!("SELECT {n}")).await;
+        let handle = &ticket.ticket[ticket.ticket.len() - TICKET_HANDLE_BYTES..];
+        let (first, second) = handle.split_at(TICKET_HANDLE_BYTES / 2);
+        assert!(halves.insert(first.to_vec()) && halves.insert(second.to_vec()), "{handle:?}");
+    }
+}
+
 #[tokio::test]
 async fn bad_input_and_unknown_methods_have_different_statuses() {
     let test_bed = TestBed::default();
