Draw the trace ids of Flight requests that bring none at random

What callers would see: an engine that takes two requests with one trace id for the same may answer one client with the other's result, or end the wrong one. No caller is known to have met it; the review saw equal ids in both processes of a hot restart.

Cause: the ids came from a count that begins alike in every process (RequestQueue::unique_number), as the tickets did.

Change: 64 random bits (crate rand); the count is gone.

Result: generated_trace_ids_differ_between_processes_of_the_configuration failed before (4 ids for 8 requests of two gateways) and passes.

--- a/gateway/src/broker/request_queue.rs
+++ b/gateway/src/broker/request_queue.rs
@@ -11,9 +11,6 @@
 
 /// The wait before a retry that a client is asked for when the queue is full.
 const FULL_QUEUE_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Multiplier of Fibonacci hashing (2^64 divided by the golden ratio), which spreads consecutive numbers over the
-/// whole range of values.
-const FIBONACCI_MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
 
 /// A front's handle for sending requests to the broker. Clones share the queue.
 #[derive(Clone, Debug)]
@@ -46,13 +43,6 @@
         self.metrics.start_request(class).end(outcome);
     }
 
-    /// Returns a number that this queue has not returned before, spread over all values, as the id of a request without
-    /// one.
-    pub fn unique_number(&self) -> u64 {
-        let number = self.next_id.fetch_add(1, Ordering::Relaxed).wrapping_add(1);
-        number.wrapping_mul(FIBONACCI_MULTIPLIER)
-    }
-
     /// Queues a request.
     ///
     /// # Errors
--- a/gateway/src/front/flight/service.rs
+++ b/gateway/src/front/flight/service.rs
@@ -120,7 +120,8 @@
             Some(text) => meta::parse_timeout(text).ok_or_else(|| invalid_metadata(meta::TIMEOUT))?,
             None => max_timeout,
         };
-        let trace = header.trace.unwrap_or_else(|| format!("{:016x}", self.request_queue.unique_number()));
+        // Random, as engines may take two requests with one id for the same, whichever gateway or process they come from.
+        let trace = header.trace.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
         Ok(message::Request {
             trace_id: trace.into(),
             class: header.class,
--- a/gateway/tests/flight_front.rs
+++ b/gateway/tests/flight_front.rs
@@ -6,6 +6,9 @@
 use reedwalk_gateway::config::Config;
 use reedwalk_gateway::operator::{EngineProtocol, OperatorConfig};
 use reedwalk_gateway::serve::Running;
+use reedwalk_testkit::model::Shape;
+use reedwalk_testkit::request_log::RequestLog;
+use reedwalk_testkit::resp::start_modelled_engine;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use support::flight::{Client, outcome, start_engine};
@@ -82,6 +85,24 @@
     }
 }
 
+/// Guards against processes of one configuration that generate the same trace ids: an engine could take the requests of
+/// one for those of the other.
+#[tokio::test]
+async fn generated_trace_ids_differ_between_processes_of_the_configuration() {
+    let record = RequestLog::default();
+    let engine = start_modelled_engine("a", Some(Shape { cores: 8.0, ..Shape::default() }), record.clone());
+    let engine = engine.await.address;
+    for _ in 0..2 {
+        let gateway = gateway(config(&[engine]), both_protocols(EngineProtocol::Resp)).await;
+        let client = Client::connect(gateway.flight.unwrap()).await.with_class("lookup", None);
+        for n in 0..4 {
+            client.query(&format!("SELECT {n}")).await.unwrap();
+        }
+    }
+    let traces: BTreeSet<_> = record.entries().into_iter().map(|entry| entry.trace).collect();
+    assert_eq!((record.attempts_at("a"), traces.len()), (8, 8), "{traces:?}");
+}
+
 #[tokio::test]
 async fn bad_input_and_unknown_methods_have_different_statuses() {
     let test_bed = TestBed::default();
