Give the processes of a hot restart separate ranges of connection ids

What callers would see: a KILL QUERY that ends the query of another client, whose connection has the same id in the other process. No caller is known to have met it: with 600 sessions in each process the chance is about 1 in 12,000 for an upgrade.

Cause: each process began its ids at random (connection_ids.rs), which makes equal ids unlikely and not impossible.

Change: the two highest bits are the process's slot, which the kernel's lock makes unique among live processes; the other thirty are the sequence as before, with a random start.

Result: processes_in_different_slots_never_have_the_same_id passes; there was no slot to test before, so it was not run on the old sequence. The tests of closing, operation and several cores pass (45).

--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -15,7 +15,7 @@
 use crate::multicore::Multicore;
 use crate::quotas::QuotaManager;
 use crate::shutdown::{Phase, wait_until_closing};
-use connection_ids::ConnectionIds;
+pub use connection_ids::ConnectionIds;
 pub use kill_query::{KillOutcome, QueryKiller};
 use packet::Writer;
 use reedwalk_operations::CapacityShare;
@@ -108,11 +108,11 @@
     pub async fn serve(
         self: Arc<Self>,
         listener: TcpListener,
+        mut ids: ConnectionIds,
         mut phase: watch::Receiver<Phase>,
         mut share: watch::Receiver<CapacityShare>,
         open_connections: mpsc::Sender<()>,
     ) {
-        let mut ids = ConnectionIds::new();
         let mut slot_log = SlotLog::new();
         share.mark_changed();
         loop {
--- a/gateway/src/hot_restart.rs
+++ b/gateway/src/hot_restart.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep_until};
 
 /// Maximum number of processes at a time. There are more than two only if an earlier one failed to exit.
-const MAX_PROCESSES: usize = 4;
+pub const MAX_PROCESSES: usize = 4;
 /// Interval between reads of the other processes' files.
 const SCAN_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay before a process that found another one running accepts clients. By then the other process has released half of
@@ -135,6 +135,11 @@
         }
     }
 
+    /// The slot of this process, which no other live process of this gateway has; `None` if there was none free.
+    pub fn slot(&self) -> Option<usize> {
+        self.own.as_ref().map(|own| own.slot)
+    }
+
     /// Whether other processes of this gateway are running.
     pub fn has_other_processes(&self) -> bool {
         !self.others.is_empty()
--- a/gateway/src/serve/base.rs
+++ b/gateway/src/serve/base.rs
@@ -38,6 +38,8 @@
 
 /// State of this process among the processes of the same gateway, which coexist during a hot restart.
 pub(super) struct ProcessGroup {
+    /// The slot of this process; `None` without a console, or if there was none free.
+    pub(super) slot: Option<usize>,
     /// Folder and name prefix of the files that the processes share; `None` without a console.
     pub(super) shared_files: Option<(PathBuf, String)>,
     /// Share of the gateway's capacity that this process may use.
@@ -110,6 +112,7 @@
             let (_, capacity_share) = watch::channel(CapacityShare::default());
             let (_, other_consoles) = watch::channel(Vec::new());
             return ProcessGroup {
+                slot: None,
                 shared_files: None,
                 capacity_share,
                 other_consoles,
@@ -122,8 +125,9 @@
         let hot_restart = HotRestart::register(&folder, &stem, self.module_log("hot_restart"));
         hot_restart.announce_console(console);
         let (capacity_share, other_consoles) = (hot_restart.share(), hot_restart.other_consoles());
-        let is_second = hot_restart.has_other_processes();
+        let (slot, is_second) = (hot_restart.slot(), hot_restart.has_other_processes());
         tokio::spawn(hot_restart.watch(stage_receiver));
-        ProcessGroup { shared_files: Some((folder, stem)), capacity_share, other_consoles, stage, is_second }
+        let shared_files = Some((folder, stem));
+        ProcessGroup { slot, shared_files, capacity_share, other_consoles, stage, is_second }
     }
 }
--- a/gateway/src/serve/subsystems.rs
+++ b/gateway/src/serve/subsystems.rs
@@ -11,7 +11,7 @@
 use crate::engine::{flight, resp};
 use crate::front;
 use crate::front::flight::Service;
-use crate::front::mysql::{Front, QueryKiller};
+use crate::front::mysql::{ConnectionIds, Front, QueryKiller};
 use crate::gossip::{GossipContext, GossipGroup, GossipTask};
 use crate::hot_restart::HANDOVER_DELAY;
 use crate::message::{BrokerEvent, EndpointMailbox, EngineTransport, GossipHandle};
@@ -264,7 +264,8 @@
         let query_killer = QueryKiller::new(sessions, other_consoles, self.module_log("mysql"));
         let front = Front::new(request_queue, deployment, quotas, limits, query_killer, multicore, log);
         let (phase, share) = (self.phase.clone(), process_group.capacity_share.clone());
-        tokio::spawn(Arc::new(front).serve(listener, phase, share, session_guard));
+        let ids = ConnectionIds::new(process_group.slot);
+        tokio::spawn(Arc::new(front).serve(listener, ids, phase, share, session_guard));
         Ok(Fronts { mysql, flight, sessions_closed })
     }
 
