Draw the ids of queries to the name server at random

Cause: the ids came from a linear congruential generator with the configuration's seed (discovery/mod.rs), so two processes of one configuration sent the same ids, and whoever knew earlier ones could compute the next and answer in the name server's place.

Change: 16 random bits (crate rand); the generator and its seed are gone.

--- a/gateway/src/discovery/mod.rs
+++ b/gateway/src/discovery/mod.rs
@@ -29,9 +29,6 @@
 const MAX_SOCKETS: usize = 4;
 /// Size of the receive buffer; answers have up to 8,000 bytes.
 const RECEIVE_BUFFER_BYTES: usize = 9000;
-/// Multiplier and increment of the linear congruential generator (LCG) of query ids.
-const LCG_MULTIPLIER: u64 = 6_364_136_223_846_793_005;
-const LCG_INCREMENT: u64 = 1_442_695_040_888_963_407;
 
 /// The source of the endpoint list; a configuration reload can replace it at run time.
 #[derive(Clone, Debug, Default)]
@@ -58,8 +55,6 @@
 
 struct DiscoveryClient {
     registry: EndpointRegistry,
-    /// State of the query id generator, whose low bits are not sent, so that ids are hard to predict from earlier ones.
-    rng_state: u64,
     /// Ids of the latest queries, the newest first.
     open_query_ids: VecDeque<u16>,
     /// An answer was too large for plain DNS, so queries allow larger ones (EDNS).
@@ -74,12 +69,10 @@
 pub async fn poll_endpoint_list(
     mut sources: watch::Receiver<DiscoverySource>,
     registry: EndpointRegistry,
-    seed: u64,
     log: Logger,
 ) {
     let mut client = DiscoveryClient {
         registry,
-        rng_state: seed,
         open_query_ids: VecDeque::new(),
         accepts_large_answers: false,
         unresponsive_logged: false,
@@ -158,8 +151,8 @@
     }
 
     fn encode_next_query(&mut self) -> Vec<u8> {
-        self.rng_state = self.rng_state.wrapping_mul(LCG_MULTIPLIER).wrapping_add(LCG_INCREMENT);
-        let id = (self.rng_state >> 48) as u16;
+        // Random, so that nobody who has not seen the query can answer it.
+        let id = rand::random();
         self.open_query_ids.truncate(MAX_OPEN_QUERIES - 1);
         self.open_query_ids.push_front(id);
         if !self.unresponsive_logged && self.last_answer.elapsed() > UNRESPONSIVE_LOG_THRESHOLD {
--- a/gateway/src/serve/subsystems.rs
+++ b/gateway/src/serve/subsystems.rs
@@ -114,7 +114,7 @@
         registry: EndpointRegistry,
     ) {
         let log = self.module_log("discovery");
-        tokio::spawn(discovery::poll_endpoint_list(sources, registry, self.config.seed, log));
+        tokio::spawn(discovery::poll_endpoint_list(sources, registry, log));
     }
 
     pub(super) fn start_gossip(
--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -17,7 +17,7 @@
 use support::discovery_server::{
     ListedEngine, answer, start_delayed_server, start_server, start_unresponsive_server,
 };
-use support::{discard_log, endpoint_list, listed, settings, until};
+use support::{ANY_PORT, discard_log, endpoint_list, listed, settings, until};
 use tokio::time::{Instant, timeout_at};
 
 /// An engine in service at `10.1.0.{last_octet}:8080`.
@@ -167,7 +167,7 @@
     let drain_guards = DrainGuards::new(Duration::from_secs(2));
     let registry =
         EndpointRegistry::new(empty_list(), drain_guards, endpoints.clone(), metrics, None, log.clone());
-    tokio::spawn(poll_endpoint_list(sources, registry, 7, log));
+    tokio::spawn(poll_endpoint_list(sources, registry, log));
     (source, endpoints)
 }
 
@@ -216,3 +216,22 @@
     *list.lock().unwrap() = (2, vec![engine("s-0", 1), engine("s-1", 2)]);
     assert_eq!(next_changes(&endpoints).await.len(), 1, "the second engine is added");
 }
+
+/// Guards against processes of one configuration whose queries have the same ids, which anyone who knows the earlier ones
+/// can compute.
+#[tokio::test]
+async fn query_ids_differ_between_processes_of_the_configuration() {
+    let mut ids = Vec::new();
+    for _ in 0..2 {
+        let server = tokio::net::UdpSocket::bind(ANY_PORT).await.unwrap();
+        let address = server.local_addr().unwrap();
+        let (_source, _endpoints) = start_polling(DiscoverySource { server: Some(address), events: None });
+        for _ in 0..3 {
+            let mut query = [0; 512];
+            let received = timeout_at(Instant::now() + Duration::from_secs(10), server.recv(&mut query)).await;
+            received.expect("no query").unwrap();
+            ids.push(u16::from_be_bytes([query[0], query[1]]));
+        }
+    }
+    assert_ne!(ids[..3], ids[3..]);
+}
