Split the login off the session, and fix the format of the console file in a test

The file with a console's address is stored data that the next version's process reads, and had no golden test.

Change: front/mysql/session/login.rs has the handshake and the login, unchanged; console_file_format_is_unchanged (golden.rs).

--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -1,5 +1,7 @@
 //! A client session: handshake, login, then one command at a time.
 
+mod login;
+
 use super::Front;
 use super::close::close;
 use super::fields::{self, FieldsError};
@@ -26,8 +28,6 @@
 /// Time from the start of the connection in which a client must log in and complete the first message that it starts.
 /// Slow clients take 2 s to write a message, and a client that never completes one must be disconnected within 3 s.
 const LOGIN_TIMEOUT: Duration = Duration::from_millis(2800);
-/// Largest login packet.
-const MAX_LOGIN_BYTES: usize = 4 * 1024;
 /// Time from the first byte of any later message in which it must be complete.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2700);
 /// A client that does not read a response is disconnected this long after the query's deadline.
@@ -42,8 +42,6 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// An input buffer with more capacity than this is released while its session is idle.
 const MAX_IDLE_BUFFER_BYTES: usize = 1024;
-/// User name of clients without a team.
-const DEFAULT_USER: &str = "app";
 
 /// The reason for the end of a session.
 enum SessionEnd {
@@ -156,46 +154,6 @@
         }
     }
 
-    /// Performs the handshake and returns whether the login was accepted.
-    async fn login(&mut self) -> Result<bool, SessionEnd> {
-        let deadline = self.connected_at + LOGIN_TIMEOUT;
-        Writer::new(&mut self.output, 0).greeting(self.id, scramble(self.id));
-        self.flush(deadline).await?;
-        let login = packet::read_login(self.read_login(deadline).await?)?;
-        let user = std::str::from_utf8(&login.user).unwrap_or_default();
-        let quotas = self.front.quotas.as_ref();
-        let is_known_user = user == DEFAULT_USER || quotas.is_some_and(|quotas| quotas.has_contract(user));
-        self.team = Arc::from(user);
-        let is_accepted = login.empty_password && is_known_user;
-        let mut writer = Writer::new(&mut self.output, 2);
-        if is_accepted {
-            writer.ok(0);
-        } else {
-            writer.error(1045, b"28000", "access denied");
-        }
-        self.flush(deadline).await?;
-        Ok(is_accepted)
-    }
-
-    async fn read_login(&mut self, deadline: Instant) -> Result<Bytes, SessionEnd> {
-        let evicted = self.slot.evicted.clone();
-        loop {
-            if packet::payload_size(&self.input, 1)? > MAX_LOGIN_BYTES {
-                return Err(ProtocolError("login too large").into());
-            }
-            if let Some(packet) = packet::take_packet(&mut self.input, 1)? {
-                return Ok(packet);
-            }
-            tokio::select! {
-                biased;
-                read = timeout_at(deadline, self.read_input()) => {
-                    read.map_err(|_| SessionEnd::ClosedByGateway)??;
-                }
-                () = evicted.notified() => return Err(SessionEnd::Evicted),
-            }
-        }
-    }
-
     /// Waits for the next command. The session may be evicted until the command is complete, and counts as unproven
     /// before its first command and while a message is incomplete.
     async fn next_command(
@@ -407,12 +365,3 @@
         Ok(())
     }
 }
-
-/// Returns the authentication challenge: 20 printable bytes. It needs no secrecy, as all passwords are empty.
-fn scramble(id: u32) -> [u8; 20] {
-    let mut state = u64::from(id).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    std::array::from_fn(|_| {
-        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        33 + ((state >> 33) % 94) as u8
-    })
-}
--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -228,7 +228,8 @@
         let (_source, _endpoints) = start_polling(DiscoverySource { server: Some(address), events: None });
         for _ in 0..3 {
             let mut query = [0; 512];
-            let received = timeout_at(Instant::now() + Duration::from_secs(10), server.recv(&mut query)).await;
+            let received =
+                timeout_at(Instant::now() + Duration::from_secs(10), server.recv(&mut query)).await;
             received.expect("no query").unwrap();
             ids.push(u16::from_be_bytes([query[0], query[1]]));
         }
--- a/gateway/tests/golden.rs
+++ b/gateway/tests/golden.rs
@@ -100,6 +100,24 @@
     assert_eq!(read(), "closing ");
 }
 
+#[test]
+fn console_file_format_is_unchanged() {
+    let folder = folder();
+    let mut process = HotRestart::register(&folder, "n0-3306", discard_log());
+    process.announce_console("127.0.0.1:9800".parse().unwrap());
+    assert_eq!(std::fs::read_to_string(folder.join("n0-3306.console-0")).unwrap(), "127.0.0.1:9800\n");
+    let other = HotRestart::register(&folder, "n0-3306", discard_log());
+    assert_eq!((process.slot(), other.slot()), (Some(0), Some(1)));
+    assert_eq!(*other.other_consoles().borrow(), ["127.0.0.1:9800".parse().unwrap()]);
+    // A process that has written no address is not reached, and one that has ended leaves its file behind.
+    process.scan();
+    assert!(process.other_consoles().borrow().is_empty());
+    drop(process);
+    let mut other = other;
+    other.scan();
+    assert!(other.other_consoles().borrow().is_empty());
+}
+
 #[test]
 fn process_file_of_the_previous_version_is_read() {
     for (word, share, other_process_serves) in
