--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -271,8 +271,8 @@
     /// killed query receives the error on its own connection.
     async fn handle_kill_query(&mut self, connection_id: u32) {
         let kill_requests = &self.registration.kill_requests;
-        let kill = self.front.query_killer.kill(connection_id);
-        tokio::pin!(kill);
+        // On the heap, as every session would hold room for it.
+        let mut kill = Box::pin(self.front.query_killer.kill(connection_id));
         loop {
             tokio::select! {
                 _ = &mut kill => break,
