Draw the login challenge and the store's process id from rand as well

Change: both call rand. The challenge is 20 printable bytes as before; it was computed from the id and is random now.

--- a/gateway/src/front/mysql/session/login.rs
+++ b/gateway/src/front/mysql/session/login.rs
@@ -15,7 +15,7 @@
     /// Performs the handshake and returns whether the login was accepted.
     pub(super) async fn login(&mut self) -> Result<bool, SessionEnd> {
         let deadline = self.connected_at + LOGIN_TIMEOUT;
-        Writer::new(&mut self.output, 0).greeting(self.id, scramble(self.id));
+        Writer::new(&mut self.output, 0).greeting(self.id, scramble());
         self.flush(deadline).await?;
         let login = packet::read_login(self.read_login(deadline).await?)?;
         let user = std::str::from_utf8(&login.user).unwrap_or_default();
@@ -53,11 +53,7 @@
     }
 }
 
-/// Returns the authentication challenge: 20 printable bytes. It needs no secrecy, as all passwords are empty.
-fn scramble(id: u32) -> [u8; 20] {
-    let mut state = u64::from(id).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    std::array::from_fn(|_| {
-        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        33 + ((state >> 33) % 94) as u8
-    })
+/// Draws the authentication challenge: 20 printable bytes.
+fn scramble() -> [u8; 20] {
+    std::array::from_fn(|_| rand::random_range(b'!'..=b'~'))
 }
--- a/gateway/src/serve/subsystems.rs
+++ b/gateway/src/serve/subsystems.rs
@@ -27,7 +27,6 @@
 use reedwalk_scheduler::Scheduler;
 use reedwalk_settings::Deployment;
 use slog::{error, info};
-use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::TcpListener;
@@ -61,7 +60,7 @@
         let longest_window =
             deduplications.map(|deduplication| deduplication.window).max().unwrap_or_default();
         // Random, so that it differs between processes.
-        let process_id = RandomState::new().build_hasher().finish();
+        let process_id = rand::random();
         let log = self.module_log("shared_store");
         let client = SharedStoreClient::new(url, options.clone(), process_id, longest_window, log);
         let client = Arc::new(client.map_err(ServeError::SharedStore)?);
