Show that an upgrade forgets which engines drain while the name server is silent

The second process of an upgrade begins with the list of the first start and says yes without an answer of the name server. Overrides of operators are handed over in TMPDIR; the endpoint list is not.

--- a/review/cases-2/src/bin/key-window.rs
+++ b/review/cases-2/src/bin/key-window.rs
@@ -76,7 +76,8 @@
     config::write(&path, &deployment)?;
     let log = folder.path().join("gateway.log");
     let address = free_address()?;
-    let start = Start { address, config: &path, operator: None, temp_dir: folder.path(), log: &log };
+    let start =
+        Start { address, config: &path, console: None, operator: None, temp_dir: folder.path(), log: &log };
     let _gateway = Gateway::start(&start)?;
 
     let report = thread::spawn({
--- a/review/cases-2/src/bin/memory-limit.rs
+++ b/review/cases-2/src/bin/memory-limit.rs
@@ -81,7 +81,8 @@
         Deployment { engines: &listed, names: None, console: None, memory_mb: MEMORY_MB, settings: SETTINGS };
     config::write(&path, &deployment)?;
     let (address, log) = (free_address()?, folder.path().join("gateway.log"));
-    let start = Start { address, config: &path, operator: None, temp_dir: folder.path(), log: &log };
+    let start =
+        Start { address, config: &path, console: None, operator: None, temp_dir: folder.path(), log: &log };
     let gateway = Gateway::start(&start)?;
 
     let traffic = Arc::new(Traffic::default());
--- a/review/cases-2/src/bin/recovered-group.rs
+++ b/review/cases-2/src/bin/recovered-group.rs
@@ -77,7 +77,14 @@
     temp_dirs.iter().try_for_each(std::fs::create_dir)?;
     let start = |process: usize| {
         let temp_dir = &temp_dirs[process];
-        Gateway::start(&Start { address, config: &path, operator: Some(&operator), temp_dir, log: &log })
+        Gateway::start(&Start {
+            address,
+            config: &path,
+            console: None,
+            operator: Some(&operator),
+            temp_dir,
+            log: &log,
+        })
     };
     let mut gateway = start(0)?;
 
--- a/review/cases-2/src/engine.rs
+++ b/review/cases-2/src/engine.rs
@@ -78,6 +78,11 @@
 pub struct RunLog(Arc<Mutex<Vec<Run>>>);
 
 impl RunLog {
+    /// All runs at this engine.
+    pub fn runs_at(&self, engine: &str) -> Vec<Run> {
+        lock(&self.0).iter().filter(|run| run.engine == engine).cloned().collect()
+    }
+
     /// All runs with this key.
     pub fn runs_of_key(&self, key: &str) -> Vec<Run> {
         lock(&self.0).iter().filter(|run| run.key == key).cloned().collect()
--- a/review/cases-2/src/gateway.rs
+++ b/review/cases-2/src/gateway.rs
@@ -2,7 +2,8 @@
 
 use crate::client::Client;
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -10,6 +11,9 @@
 /// How long a gateway may take until it answers its clients; the page "Deployment" allows 30 s.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How long a console may take to answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A folder for the files of a run, which is removed at the end.
 pub struct TemporaryFolder(PathBuf);
 
@@ -35,6 +39,16 @@
     }
 }
 
+/// Sends one line to a console and returns its answer.
+pub fn call(console: SocketAddr, line: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(console)?;
+    stream.set_read_timeout(Some(CALL_TIMEOUT))?;
+    stream.write_all(format!("{line}\n").as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer)
+}
+
 /// A running gateway, which is killed when it is dropped.
 pub struct Gateway {
     child: Child,
@@ -53,6 +67,8 @@
     pub address: SocketAddr,
     /// The configuration file.
     pub config: &'a Path,
+    /// The address of the operators' console, which differs from process to process.
+    pub console: Option<SocketAddr>,
     /// The operator's file, if one is used.
     pub operator: Option<&'a Path>,
     /// `TMPDIR` of the process.
@@ -75,6 +91,7 @@
             .args(["-c", &command])
             .env("GW_CONFIG", start.config)
             .env("GW_LISTEN", start.address.to_string())
+            .envs(start.console.map(|console| ("GW_CONSOLE", console.to_string())))
             .env("TMPDIR", start.temp_dir)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
@@ -82,7 +99,11 @@
             .spawn()?;
         let mut gateway = Self { child, address: start.address };
         let deadline = Instant::now() + READY_TIMEOUT;
-        while Client::connect(start.address).is_err() {
+        let is_ready = || match start.console {
+            Some(console) => call(console, "HEALTH").is_ok_and(|answer| answer.starts_with("SUCCESS")),
+            None => Client::connect(start.address).is_ok(),
+        };
+        while !is_ready() {
             if Instant::now() > deadline || gateway.child.try_wait()?.is_some() {
                 return Err(std::io::Error::other("the gateway did not start"));
             }
@@ -91,6 +112,12 @@
         Ok(gateway)
     }
 
+    /// Sends SIGTERM, with which a planned restart begins.
+    pub fn terminate(&self) -> std::io::Result<()> {
+        let kill = format!("kill -TERM {}", self.child.id());
+        Command::new("/bin/sh").args(["-c", &kill]).status().map(|_| ())
+    }
+
     /// Kills the process outright.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/review/cases-2/src/lib.rs
+++ b/review/cases-2/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod config;
 pub mod engine;
 pub mod gateway;
+pub mod name_server;
 pub mod record;
