--- a/review/cases-2/src/bin/recovered-group.rs
+++ b/review/cases-2/src/bin/recovered-group.rs
@@ -106,7 +106,7 @@
     let mut answer = first.join().unwrap_or(Ok(Answer::Lost("the client failed".into())))?;
     let mut trace = 1;
     // The client repeats what the gateway held when it died, and what is refused, inside the window.
-    while !matches!(answer, Answer::Served(_)) && trace < 3 {
+    while matches!(answer, Answer::Lost(_) | Answer::Refused(..)) && trace < 3 {
         trace += 1;
         answer = send_batch(record, address, trace, true)?;
     }
