End what a case leaves running, and kill the gateway of case 8 at its limit

A script that was killed midway could leave a gateway behind.

The scripts start their programs through run-case-2.sh, which ends every gateway that is left, by its id. Case 8 looks every 20 ms and kills the gateway as the platform does.

--- a/review/cases-2/src/bin/memory-limit.rs
+++ b/review/cases-2/src/bin/memory-limit.rs
@@ -30,6 +30,8 @@
 const REQUESTS_PER_SECOND: u64 = 520;
 /// Time between the starts of two clients.
 const START_INTERVAL: Duration = Duration::from_millis(4);
+/// Time between two looks at the gateway's memory.
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// How long the traffic lasts.
 const DURATION: Duration = Duration::from_secs(80);
 /// How long an engine works on a query.
@@ -67,7 +69,20 @@
     has_ended: AtomicBool,
     next_trace: AtomicU64,
     served: AtomicU64,
+    /// Refused or failed.
     not_served: AtomicU64,
+    /// The connection ended without an answer.
+    lost: AtomicU64,
+}
+
+impl Traffic {
+    fn record(&self, record: &Record, peak_mb: u64) {
+        let [served, not_served, lost] =
+            [&self.served, &self.not_served, &self.lost].map(|count| count.load(Ordering::Relaxed));
+        record.line(&format!(
+            "gateway: at most {peak_mb} MB so far; served {served}, refused or failed {not_served}, lost {lost}"
+        ));
+    }
 }
 
 fn run(record: &Record, has_trouble: bool) -> std::io::Result<Verdict> {
@@ -83,7 +98,7 @@
     let (address, log) = (free_address()?, folder.path().join("gateway.log"));
     let start =
         Start { address, config: &path, console: None, operator: None, temp_dir: folder.path(), log: &log };
-    let gateway = Gateway::start(&start)?;
+    let mut gateway = Gateway::start(&start)?;
 
     let traffic = Arc::new(Traffic::default());
     let clients = (0..CLIENTS).map(|number| {
@@ -95,30 +110,51 @@
         })
     });
     let clients: Vec<_> = clients.collect::<Result<_, _>>()?;
-    let end = Instant::now() + DURATION;
-    let mut peak_mb = 0;
-    while Instant::now() < end && peak_mb <= MEMORY_MB {
-        thread::sleep(STALL_INTERVAL);
-        if has_trouble {
-            engines[..STALLED_ENGINES].iter().for_each(|engine| engine.stall(STALL));
-        }
-        peak_mb = peak_memory_kb(&gateway)? / 1024;
-        let (served, not_served) =
-            (traffic.served.load(Ordering::Relaxed), traffic.not_served.load(Ordering::Relaxed));
-        record.line(&format!(
-            "gateway: at most {peak_mb} MB resident so far; served {served}, refused, failed or lost {not_served}"
-        ));
-    }
+    let peak_mb = watch(record, &mut gateway, &engines, &traffic, has_trouble)?;
     traffic.has_ended.store(true, Ordering::Relaxed);
     clients.into_iter().for_each(|client| _ = client.join());
-    peak_mb = peak_mb.max(peak_memory_kb(&gateway)? / 1024);
+    traffic.record(record, peak_mb);
     if traffic.served.load(Ordering::Relaxed) == 0 {
         return Ok(Verdict::Inconclusive("nothing was served".into()));
     }
-    let text = format!("the gateway held {peak_mb} MB at its peak; the limit is {MEMORY_MB} MB");
+    let lost = traffic.lost.load(Ordering::Relaxed);
+    let text = format!(
+        "the gateway held {peak_mb} MB at its peak, of {MEMORY_MB} MB; {lost} requests got no answer"
+    );
     Ok(if peak_mb > MEMORY_MB { Verdict::Broken(text) } else { Verdict::Held(text) })
 }
 
+/// Lets the traffic run, with the stalls. As the platform does, kills the gateway once it is over its limit. Returns the
+/// most memory that it has held, in MB.
+fn watch(
+    record: &Record,
+    gateway: &mut Gateway,
+    engines: &[Engine],
+    traffic: &Traffic,
+    has_trouble: bool,
+) -> std::io::Result<u64> {
+    let end = Instant::now() + DURATION;
+    let mut next_stall = Instant::now() + STALL_INTERVAL;
+    let mut peak_mb = 0;
+    while Instant::now() < end {
+        thread::sleep(MEMORY_CHECK_INTERVAL);
+        peak_mb = peak_memory_kb(gateway)? / 1024;
+        if peak_mb > MEMORY_MB {
+            gateway.kill();
+            record.line(&format!("the platform kills the gateway, which has held {peak_mb} MB"));
+            return Ok(peak_mb);
+        }
+        if Instant::now() >= next_stall {
+            next_stall += STALL_INTERVAL;
+            traffic.record(record, peak_mb);
+            if has_trouble {
+                engines[..STALLED_ENGINES].iter().for_each(|engine| engine.stall(STALL));
+            }
+        }
+    }
+    Ok(peak_mb)
+}
+
 fn start_engines(record: &Record) -> std::io::Result<Vec<Engine>> {
     let (memory, runs) = (KeyMemory::new(PATIENCE), RunLog::default());
     let pages = vec![ROW.repeat(PAGE_BYTES / ROW.len()); PAGES];
@@ -138,7 +174,11 @@
         let trace = traffic.next_trace.fetch_add(1, Ordering::Relaxed);
         let fields = Fields { route: "lookup", trace, patience: PATIENCE, nonce: None, redo: false };
         let answer = client.query(&fields, "SELECT day, count(*), max(note) FROM sales_1.orders", MARGIN);
-        let count = if matches!(answer, Answer::Served(_)) { &traffic.served } else { &traffic.not_served };
+        let count = match answer {
+            Answer::Served(_) => &traffic.served,
+            Answer::Lost(_) => &traffic.lost,
+            Answer::Refused(..) | Answer::Failed(..) => &traffic.not_served,
+        };
         count.fetch_add(1, Ordering::Relaxed);
         if matches!(answer, Answer::Lost(_)) {
             client = Client::connect(address)?;
--- a/review/cases-2/src/gateway.rs
+++ b/review/cases-2/src/gateway.rs
@@ -61,6 +61,14 @@
     TcpListener::bind("127.0.0.1:0")?.local_addr()
 }
 
+/// Writes the id of a process that was started into the file from which `run-case-2.sh` ends what is left.
+fn note_process(id: u32) -> std::io::Result<()> {
+    match std::env::var_os("CASE_PROCESSES") {
+        Some(path) => writeln!(File::options().append(true).open(path)?, "{id}"),
+        None => Ok(()),
+    }
+}
+
 /// What a gateway is started with.
 pub struct Start<'a> {
     /// The address that clients connect to.
@@ -97,6 +105,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        note_process(child.id())?;
         let mut gateway = Self { child, address: start.address };
         let deadline = Instant::now() + READY_TIMEOUT;
         let is_ready = || match start.console {
