--- a/review/cases-2/src/bin/recovered-group.rs
+++ b/review/cases-2/src/bin/recovered-group.rs
@@ -15,13 +15,15 @@
 use std::time::{Duration, Instant};
 
 /// How long the engines of a cell drop a repeat of a key.
-const KEY_WINDOW: Duration = Duration::from_secs(12);
-/// How long the client waits for a try: 80% of the give-up time of 20 s.
-const PATIENCE: Duration = Duration::from_secs(16);
+const KEY_WINDOW: Duration = Duration::from_secs(25);
+/// How long the client waits for a try: 80% of the give-up time of 25 s.
+const PATIENCE: Duration = Duration::from_secs(20);
 /// How long the batch runs.
 const RUN_TIME: Duration = Duration::from_millis(2500);
 /// When the gateway is killed, after the batch has begun to run.
 const KILLED_AFTER: Duration = Duration::from_millis(1000);
+/// How long the client waits before a retry, within the 100 to 600 ms of the site file.
+const BACKOFF: Duration = Duration::from_millis(200);
 /// How long the run is awaited.
 const RUN_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a client waits past its patience for an answer.
@@ -29,20 +31,20 @@
 /// The idempotency key of the batch.
 const KEY: &str = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
 
-/// The settings of a small deployment whose engines share their keys within a cell.
+/// The settings of the second deployment, but that its engines share their keys within a cell.
 const SETTINGS: &str = r#"{
  "Balancers": 1, "Ordinal": 0, "Zone": 0, "TickUs": 5000, "Discovery": "push",
  "Localities": ["hall-a", "hall-b"], "HostTypes": ["std-8c"],
- "Clients": {"MarksRetry": true},
- "Limits": {"Cancel": false, "SecondCopies": false, "ConnectTimeoutUs": 250000, "KeepaliveUs": 15000000,
-  "MaxAttempts": 3, "MaxRetryAfterUs": 2000000, "Multiplex": 32, "OpenCap": 1000, "RetryAfter": true},
+ "Clients": {"MarksRetry": false},
+ "Limits": {"Cancel": false, "SecondCopies": false, "ConnectTimeoutUs": 250000, "KeepaliveUs": 30000000,
+  "MaxAttempts": 5, "MaxRetryAfterUs": 2000000, "Multiplex": 32, "OpenCap": 1000, "RetryAfter": true},
  "RequestClasses": [
-  {"Name": "lookup", "Effect": "repeatable", "DedupScope": "all", "MemorySpanUs": 5000000, "SloUs": 1200000,
-   "GiveUpUs": 6000000, "Value": 1.0, "LateValue": 0.1, "AimStretch": 1.5},
-  {"Name": "batch-post", "Effect": "by_key", "DedupScope": "cell", "MemorySpanUs": 12000000, "SloUs": 4000000,
-   "GiveUpUs": 20000000, "Value": 5.0, "LateValue": 0.5, "AimStretch": 2.5}],
- "Rules": {"AnswerSlackUs": 20000, "ColdFrom": 0.33, "DrainGraceUs": 2000000, "FallUs": 1000000,
-  "RampTimeUs": 15000000, "TipMultiple": 2.5},
+  {"Name": "lookup", "Effect": "repeatable", "DedupScope": "all", "MemorySpanUs": 5000000, "SloUs": 1000000,
+   "GiveUpUs": 5000000, "Value": 1.0, "LateValue": 0.1, "AimStretch": 1.5},
+  {"Name": "load", "Effect": "by_key", "DedupScope": "cell", "MemorySpanUs": 25000000, "SloUs": 3000000,
+   "GiveUpUs": 25000000, "Value": 5.0, "LateValue": 0.5, "AimStretch": 2.5, "InOrder": true}],
+ "Rules": {"AnswerSlackUs": 20000, "ColdFrom": 0.32, "DrainGraceUs": 500000, "FallUs": 1000000,
+  "RampTimeUs": 14000000, "TipMultiple": 2.0, "OrderSettleUs": 0},
  "Specifics": {"ClassWaits": [true, false], "Grants": true, "IsLoad": [false, true], "MaxGrantShare": 0.4,
   "Priorities": false, "ProgressUs": 0, "RamOfKindMb": [16384.0], "SizeCores": [8], "WidthByClass": [1, 2]}}"#;
 
@@ -90,7 +92,7 @@
 
     let first = thread::spawn({
         let record = record.clone();
-        move || send_batch(&record, address, 1, false)
+        move || send_batch(&record, address, 1)
     });
     if !wait_until(RUN_TIMEOUT, || !runs.runs_of_key(KEY).is_empty()) {
         return Ok(Verdict::Inconclusive("the batch did not reach an engine".into()));
@@ -108,7 +110,8 @@
     // The client repeats what the gateway held when it died, and what is refused, inside the window.
     while matches!(answer, Answer::Lost(_) | Answer::Refused(..)) && trace < 3 {
         trace += 1;
-        answer = send_batch(record, address, trace, true)?;
+        thread::sleep(BACKOFF);
+        answer = send_batch(record, address, trace)?;
     }
     // Whatever is still running at an engine comes to its end.
     thread::sleep(RUN_TIME);
@@ -131,12 +134,12 @@
     true
 }
 
-/// Sends the batch; `redo` marks the client's retry.
-fn send_batch(record: &Record, address: SocketAddr, trace: u64, redo: bool) -> std::io::Result<Answer> {
+/// Sends one try of the batch. At this site clients do not mark their retries.
+fn send_batch(record: &Record, address: SocketAddr, trace: u64) -> std::io::Result<Answer> {
     let mut client = Client::connect(address)?;
-    let fields = Fields { route: "batch-post", trace, patience: PATIENCE, nonce: Some(KEY), redo };
-    record.line(&format!("client: batch-post, trace {trace:016x}, key {KEY}, redo={redo}"));
-    let answer = client.query(&fields, "INSERT INTO sales_4.batches VALUES (1)", MARGIN);
+    let fields = Fields { route: "load", trace, patience: PATIENCE, nonce: Some(KEY), redo: false };
+    record.line(&format!("client: load, trace {trace:016x}, key {KEY}"));
+    let answer = client.query(&fields, "INSERT INTO bank_4.batches VALUES (1)", MARGIN);
     record.line(&format!("client: answer to trace {trace:016x}: {answer:?}"));
     Ok(answer)
 }
--- a/review/cases-2/src/bin/store-gone.rs
+++ b/review/cases-2/src/bin/store-gone.rs
@@ -14,9 +14,9 @@
 use std::time::{Duration, Instant};
 
 /// How long the engines of a cell drop a repeat of a key.
-const KEY_WINDOW: Duration = Duration::from_secs(12);
-/// How long the client waits for a try: 80% of the give-up time of 20 s.
-const PATIENCE: Duration = Duration::from_secs(16);
+const KEY_WINDOW: Duration = Duration::from_secs(25);
+/// How long the client waits for a try: 80% of the give-up time of 25 s.
+const PATIENCE: Duration = Duration::from_secs(20);
 /// How long the batch runs.
 const RUN_TIME: Duration = Duration::from_millis(2500);
 /// When the gateway is killed, after the batch has begun to run.
@@ -30,20 +30,20 @@
 /// The idempotency key of the batch.
 const KEY: &str = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
 
-/// The settings of a small deployment whose engines share their keys within a cell.
+/// The settings of the second deployment, but that its engines share their keys within a cell.
 const SETTINGS: &str = r#"{
  "Balancers": 1, "Ordinal": 0, "Zone": 0, "TickUs": 5000, "Discovery": "push",
  "Localities": ["hall-a", "hall-b"], "HostTypes": ["std-8c"],
  "Clients": {"MarksRetry": false},
- "Limits": {"Cancel": false, "SecondCopies": false, "ConnectTimeoutUs": 250000, "KeepaliveUs": 15000000,
-  "MaxAttempts": 3, "MaxRetryAfterUs": 2000000, "Multiplex": 32, "OpenCap": 1000, "RetryAfter": true},
+ "Limits": {"Cancel": false, "SecondCopies": false, "ConnectTimeoutUs": 250000, "KeepaliveUs": 30000000,
+  "MaxAttempts": 5, "MaxRetryAfterUs": 2000000, "Multiplex": 32, "OpenCap": 1000, "RetryAfter": true},
  "RequestClasses": [
-  {"Name": "lookup", "Effect": "repeatable", "DedupScope": "all", "MemorySpanUs": 5000000, "SloUs": 1200000,
-   "GiveUpUs": 6000000, "Value": 1.0, "LateValue": 0.1, "AimStretch": 1.5},
-  {"Name": "batch-post", "Effect": "by_key", "DedupScope": "cell", "MemorySpanUs": 12000000, "SloUs": 4000000,
-   "GiveUpUs": 20000000, "Value": 5.0, "LateValue": 0.5, "AimStretch": 2.5}],
- "Rules": {"AnswerSlackUs": 20000, "ColdFrom": 0.33, "DrainGraceUs": 2000000, "FallUs": 1000000,
-  "RampTimeUs": 15000000, "TipMultiple": 2.5},
+  {"Name": "lookup", "Effect": "repeatable", "DedupScope": "all", "MemorySpanUs": 5000000, "SloUs": 1000000,
+   "GiveUpUs": 5000000, "Value": 1.0, "LateValue": 0.1, "AimStretch": 1.5},
+  {"Name": "load", "Effect": "by_key", "DedupScope": "cell", "MemorySpanUs": 25000000, "SloUs": 3000000,
+   "GiveUpUs": 25000000, "Value": 5.0, "LateValue": 0.5, "AimStretch": 2.5, "InOrder": true}],
+ "Rules": {"AnswerSlackUs": 20000, "ColdFrom": 0.32, "DrainGraceUs": 500000, "FallUs": 1000000,
+  "RampTimeUs": 14000000, "TipMultiple": 2.0, "OrderSettleUs": 0},
  "Specifics": {"ClassWaits": [true, false], "Grants": true, "IsLoad": [false, true], "MaxGrantShare": 0.4,
   "Priorities": false, "ProgressUs": 0, "RamOfKindMb": [16384.0], "SizeCores": [8], "WidthByClass": [1, 2]}}"#;
 
@@ -141,9 +141,9 @@
 /// Sends one try of the batch. At this site clients do not mark their retries.
 fn send_batch(record: &Record, address: SocketAddr, trace: u64) -> std::io::Result<Answer> {
     let mut client = Client::connect(address)?;
-    let fields = Fields { route: "batch-post", trace, patience: PATIENCE, nonce: Some(KEY), redo: false };
-    record.line(&format!("client: batch-post, trace {trace:016x}, key {KEY}"));
-    let answer = client.query(&fields, "INSERT INTO sales_4.batches VALUES (1)", MARGIN);
+    let fields = Fields { route: "load", trace, patience: PATIENCE, nonce: Some(KEY), redo: false };
+    record.line(&format!("client: load, trace {trace:016x}, key {KEY}"));
+    let answer = client.query(&fields, "INSERT INTO bank_4.batches VALUES (1)", MARGIN);
     record.line(&format!("client: answer to trace {trace:016x}: {answer:?}"));
     Ok(answer)
 }
--- a/review/cases-2/src/bin/upgrade-drain.rs
+++ b/review/cases-2/src/bin/upgrade-drain.rs
@@ -39,7 +39,7 @@
 const CLIENTS: usize = 12;
 /// Time between two queries of a client.
 const QUERY_INTERVAL: Duration = Duration::from_millis(50);
-/// How long an engine works on a query.
+/// How long an engine works on a query: shorter than the time to its first note of progress.
 const QUERY_TIME: Duration = Duration::from_millis(100);
 /// How long a client waits.
 const PATIENCE: Duration = Duration::from_secs(6);
@@ -58,7 +58,7 @@
  "Rules": {"AnswerSlackUs": 20000, "ColdFrom": 0.33, "DrainGraceUs": 2000000, "FallUs": 1000000,
   "RampTimeUs": 15000000, "TipMultiple": 2.5},
  "Specifics": {"ClassWaits": [true], "Grants": true, "IsLoad": [false], "MaxGrantShare": 0.4,
-  "Priorities": true, "ProgressUs": 0, "RamOfKindMb": [16384.0], "SizeCores": [8], "WidthByClass": [1]}}"#;
+  "Priorities": true, "ProgressUs": 500000, "RamOfKindMb": [16384.0], "SizeCores": [8], "WidthByClass": [1]}}"#;
 
 fn run(record: &Record, has_trouble: bool) -> std::io::Result<Verdict> {
     let folder = TemporaryFolder::create()?;
