Share the test set-up of a draining engine and keep the result of a KILL QUERY private

Three tests built the same two engines and discovery server by hand, and KillOutcome was public although only the log reads it. Change: ListedEngines in the test support; QueryKiller::kill returns nothing. No assertion changed.

--- a/gateway/src/front/mysql/kill_query.rs
+++ b/gateway/src/front/mysql/kill_query.rs
@@ -18,9 +18,9 @@
 /// Limit on the commands that are passed on at a time. It leaves room for operators on the other console.
 const MAX_FORWARDED: usize = console::MAX_CONNECTIONS / 2;
 
-/// What a `KILL QUERY` command has cancelled.
+/// What a `KILL QUERY` command has cancelled, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum KillOutcome {
+enum KillOutcome {
     /// A query of this process.
     KilledHere,
     /// A query of another process of this gateway.
@@ -54,7 +54,7 @@
     }
 
     /// Cancels the query of a connection, in whichever process of this gateway it runs.
-    pub async fn kill(&self, connection_id: u32) -> KillOutcome {
+    pub async fn kill(&self, connection_id: u32) {
         let outcome = match self.sessions.kill(connection_id).await {
             KillResult::Killed => KillOutcome::KilledHere,
             KillResult::UnknownConnection if self.kill_in_other_processes(connection_id).await => {
@@ -63,7 +63,6 @@
             KillResult::Idle | KillResult::UnknownConnection => KillOutcome::NotFound,
         };
         debug!(self.log, "query kill handled"; "connection" => connection_id, "outcome" => ?outcome);
-        outcome
     }
 
     /// Passes the command on to all other processes. Returns whether one of them has confirmed that it cancelled a query.
--- a/gateway/src/front/mysql/mod.rs
+++ b/gateway/src/front/mysql/mod.rs
@@ -16,7 +16,7 @@
 use crate::quotas::QuotaManager;
 use crate::shutdown::{Phase, wait_until_closing};
 pub use connection_ids::ConnectionIds;
-pub use kill_query::{KillOutcome, QueryKiller};
+pub use kill_query::QueryKiller;
 use packet::Writer;
 use reedwalk_operations::CapacityShare;
 use reedwalk_settings::Deployment;
--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -275,7 +275,7 @@
         let mut kill = Box::pin(self.front.query_killer.kill(connection_id));
         loop {
             tokio::select! {
-                _ = &mut kill => break,
+                () = &mut kill => break,
                 // This session has no query. Two sessions that kill each other's must not wait for one another.
                 () = kill_requests.arrived() => kill_requests.finish(KillResult::Idle),
             }
--- a/gateway/tests/flight_front.rs
+++ b/gateway/tests/flight_front.rs
@@ -3,7 +3,6 @@
 mod support;
 
 use arrow_flight::{Action, FlightDescriptor, Ticket};
-use reedwalk_gateway::config::Config;
 use reedwalk_gateway::operator::{EngineProtocol, OperatorConfig};
 use reedwalk_gateway::serve::Running;
 use reedwalk_testkit::model::Shape;
@@ -14,8 +13,8 @@
 use support::flight::{Client, outcome, start_engine};
 use support::mysql::{self, fields};
 use support::{
-    Outcome, TestBed, both_protocols, config, discovery_server, endpoint_list, flight_engines, gateway,
-    listed, resp_engines, until, unused_address,
+    ListedEngines, Outcome, TestBed, both_protocols, config, flight_engines, gateway, resp_engines, until,
+    unused_address,
 };
 use tonic::Code;
 
@@ -172,24 +171,16 @@
 #[tokio::test]
 async fn drain_takes_effect_within_two_seconds() {
     let test_bed = TestBed::default();
-    let [a, b] = flight_engines(&test_bed).await;
-    let list = endpoint_list(1, vec![listed("s-0", a), listed("s-1", b)]);
-    let (server, answers) = discovery_server::start_server(list.clone()).await;
-    let config = Config { name_server: Some(server), ..config(&[a, b]) };
-    let gateway = gateway(config, both_protocols(EngineProtocol::FlightSql)).await;
+    let engines = ListedEngines::start(flight_engines(&test_bed).await).await;
+    let gateway = gateway(engines.config.clone(), both_protocols(EngineProtocol::FlightSql)).await;
     let client = Client::connect(gateway.flight.unwrap()).await.with_class("lookup", None);
     for n in 0..4 {
         client.query(&format!("SELECT {n}")).await.unwrap();
     }
     assert!(test_bed.attempts_at("a") > 0);
-    {
-        let mut list = list.lock().unwrap();
-        list.0 = 2;
-        list.1[0].draining = true;
-    }
+    engines.drain(0);
     let drained = Instant::now();
-    let before = *answers.lock().unwrap();
-    until("the list was read", || *answers.lock().unwrap() >= before + 2).await;
+    engines.wait_until_read().await;
     assert!(drained.elapsed() < Duration::from_secs(2));
     let sent = test_bed.attempts_at("a");
     for n in 10..20 {
@@ -203,20 +194,12 @@
 #[tokio::test]
 async fn statement_that_its_engine_has_run_is_fetched_although_the_engine_drains() {
     let test_bed = TestBed::default();
-    let [a, b] = flight_engines(&test_bed).await;
-    let list = endpoint_list(1, vec![listed("s-0", a), listed("s-1", b)]);
-    let (server, _) = discovery_server::start_server(list.clone()).await;
-    let config = Config { name_server: Some(server), ..config(&[a, b]) };
-    let gateway = gateway(config, both_protocols(EngineProtocol::FlightSql)).await;
+    let engines = ListedEngines::start(flight_engines(&test_bed).await).await;
+    let gateway = gateway(engines.config.clone(), both_protocols(EngineProtocol::FlightSql)).await;
     let mut client = mysql::Client::connect(gateway.mysql).await;
     client.send_query(&fields("adjust", 2900, None, "EAGER 1")).await;
     until("an engine runs the statement", || test_bed.attempts("EAGER 1") == 1).await;
-    {
-        let mut list = list.lock().unwrap();
-        let runs_at_first = test_bed.attempts_at("a") == 1;
-        list.0 = 2;
-        list.1[usize::from(!runs_at_first)].draining = true;
-    }
+    engines.drain(if test_bed.attempts_at("a") == 1 { 0 } else { 1 });
     assert_eq!(client.answer().await.map(|rows| rows.len()), Ok(600));
     assert_eq!(test_bed.attempts("EAGER 1"), 1, "the statement ran at two engines");
 }
--- a/gateway/tests/mysql_front.rs
+++ b/gateway/tests/mysql_front.rs
@@ -2,14 +2,13 @@
 
 mod support;
 
-use reedwalk_gateway::config::Config;
 use reedwalk_gateway::operator::OperatorConfig;
 use reedwalk_gateway::serve::Running;
 use std::time::{Duration, Instant};
 use support::mysql::{Client, expected_rows, fields, login_packet, query_packet};
 use support::{
-    ANY_PORT, Outcome, TestBed, config, discovery_server, endpoint_list, gateway, listed, resp, resp_engines,
-    until, unused_address, with_engines,
+    ANY_PORT, ListedEngines, Outcome, TestBed, config, gateway, resp, resp_engines, until, unused_address,
+    with_engines,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -169,23 +168,15 @@
 #[tokio::test]
 async fn draining_engine_gets_no_new_requests() {
     let test_bed = TestBed::default();
-    let [a, b] = resp_engines(&test_bed).await;
-    let list = endpoint_list(1, vec![listed("s-0", a), listed("s-1", b)]);
-    let (server, answers) = discovery_server::start_server(list.clone()).await;
-    let config = Config { name_server: Some(server), ..config(&[a, b]) };
-    let gateway = gateway(config, OperatorConfig::default()).await;
+    let engines = ListedEngines::start(resp_engines(&test_bed).await).await;
+    let gateway = gateway(engines.config.clone(), OperatorConfig::default()).await;
     let mut client = Client::connect(gateway.mysql).await;
     for n in 0..4 {
         client.outcome(&fields("lookup", 3000, None, &format!("SELECT {n}"))).await;
     }
     assert!(test_bed.attempts_at("a") > 0 && test_bed.attempts_at("b") > 0);
-    {
-        let mut list = list.lock().unwrap();
-        list.0 = 2;
-        list.1[0].draining = true;
-    }
-    let before = *answers.lock().unwrap();
-    until("the list was read", || *answers.lock().unwrap() >= before + 2).await;
+    engines.drain(0);
+    engines.wait_until_read().await;
     let sent = test_bed.attempts_at("a");
     for n in 10..20 {
         assert_eq!(
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -112,6 +112,36 @@
     discovery_server::ListedEngine { draining: true, ..listed(id, address) }
 }
 
+/// The engines `s-0` and `s-1` on the list of a discovery server, for tests in which one of them drains.
+pub struct ListedEngines {
+    /// The configuration of a gateway that polls the server.
+    pub config: Config,
+    list: discovery_server::EngineList,
+    answers: Arc<Mutex<u32>>,
+}
+
+impl ListedEngines {
+    /// Starts a discovery server that lists both engines as in service.
+    pub async fn start(engines: [SocketAddr; 2]) -> Self {
+        let list = endpoint_list(1, vec![listed("s-0", engines[0]), listed("s-1", engines[1])]);
+        let (server, answers) = discovery_server::start_server(list.clone()).await;
+        Self { config: Config { name_server: Some(server), ..config(&engines) }, list, answers }
+    }
+
+    /// Lists an engine as draining from now on.
+    pub fn drain(&self, engine: usize) {
+        let mut list = self.list.lock().unwrap();
+        list.0 += 1;
+        list.1[engine].draining = true;
+    }
+
+    /// Waits until the gateway has read the current list.
+    pub async fn wait_until_read(&self) {
+        let before = *self.answers.lock().unwrap();
+        until("the list was read", || *self.answers.lock().unwrap() >= before + 2).await;
+    }
+}
+
 /// The engine list of a discovery server, with its serial number.
 pub fn endpoint_list(
     serial: u32,
