Hand the endpoint list over between the processes of a hot restart

Cause: the new process builds its list from the configuration alone (serve/subsystems.rs, start_registry); what the old one was told stayed there. Evidence: the new process logs the configuration's list and no change until the first answer. A drain known and not kept, and an older answer that replaces a newer one, are ruled out by the same log. Change: each process writes its list with its serial beside its stage in TMPDIR and takes over newer ones of the gateway's other live processes, at the start and ten times a second. What an ended process left is removed and never read.

--- a/gateway/src/discovery/endpoint_list.rs
+++ b/gateway/src/discovery/endpoint_list.rs
@@ -2,6 +2,7 @@
 //! removed one. Updates return the changed endpoints; a list older than the current one is ignored.
 
 use super::dns;
+use super::list_record::{EngineRecord, ListRecord, ListVersion};
 use crate::message::Endpoint;
 use reedwalk_scheduler::{CellId, EngineEntry, EngineId, EngineState, KindId, Time, ZoneId};
 use reedwalk_settings::Sockets;
@@ -50,10 +51,8 @@
 #[derive(Debug)]
 pub struct EndpointList {
     sockets: Arc<Sockets>,
-    /// Serial of the last complete update. `None` until the first one, which is applied whatever its serial.
-    serial: Option<u32>,
-    /// Serial of the latest answer that lacked an address; older answers are ignored after it too.
-    incomplete_serial: Option<u32>,
+    /// The first update is applied whatever its serial.
+    version: ListVersion,
     ids_by_name: HashMap<String, EngineId>,
     next_id: u32,
     endpoints: BTreeMap<EngineId, Endpoint>,
@@ -62,18 +61,12 @@
 /// Maximum number of ids that are kept for unlisted engines, in addition to as many as there are listed ones.
 const MAX_UNLISTED_IDS: usize = 64;
 
-/// Whether `a` is later than `b` in serial number arithmetic (RFC 1982).
-fn is_later(a: u32, b: u32) -> bool {
-    a != b && a.wrapping_sub(b) < 1 << 31
-}
-
 impl EndpointList {
     /// An empty list.
     pub fn new(sockets: Arc<Sockets>) -> Self {
         Self {
             sockets,
-            serial: None,
-            incomplete_serial: None,
+            version: ListVersion::default(),
             ids_by_name: HashMap::new(),
             next_id: 0,
             endpoints: BTreeMap::new(),
@@ -82,7 +75,12 @@
 
     /// Serial of the last complete update.
     pub fn serial(&self) -> Option<u32> {
-        self.serial
+        self.version.serial
+    }
+
+    /// How recent the list is.
+    pub fn version(&self) -> ListVersion {
+        self.version
     }
 
     /// Returns the id of an engine in this process, and assigns one to a new name. Names are never reused, so those of
@@ -144,7 +142,7 @@
                 self.remove_unlisted(&listed_ids, &mut changes);
             }
         }
-        self.serial = Some(events.seq);
+        self.version.serial = Some(events.seq);
         Ok(changes)
     }
 
@@ -176,19 +174,14 @@
         events: &serde_json::Value,
     ) -> Result<Vec<Endpoint>, serde_json::Error> {
         let seq = ListEvents::deserialize(events)?.seq;
-        if self.serial.is_some_and(|serial| !is_later(seq, serial)) {
-            Ok(Vec::new())
-        } else {
-            self.apply_events(events)
-        }
+        if self.version.is_complete_list_older_than(seq) { self.apply_events(events) } else { Ok(Vec::new()) }
     }
 
     /// Applies an answer of the name server, which is the complete list, unless it is not newer than the current list.
     /// Returns the changed endpoints.
     pub fn apply_answer(&mut self, answer: dns::Answer) -> Vec<Endpoint> {
         let mut changes = Vec::new();
-        let is_stale = self.serial.is_some_and(|serial| !is_later(answer.serial, serial));
-        if is_stale || self.incomplete_serial.is_some_and(|serial| is_later(serial, answer.serial)) {
+        if !self.version.is_older_than(answer.serial) {
             return changes;
         }
         let mut listed_ids = HashSet::new();
@@ -203,13 +196,61 @@
         }
         self.remove_unlisted(&listed_ids, &mut changes);
         if is_complete {
-            self.serial = Some(answer.serial);
+            self.version.serial = Some(answer.serial);
         } else {
-            self.incomplete_serial = Some(answer.serial);
+            self.version.incomplete_serial = Some(answer.serial);
+        }
+        changes
+    }
+
+    /// The list in the form for the gateway's other processes.
+    pub fn record(&self) -> ListRecord {
+        let engines = self.named_endpoints().map(|(name, endpoint)| self.record_of(name, endpoint));
+        ListRecord { version: self.version, engines: engines.collect() }
+    }
+
+    fn record_of(&self, name: &str, Endpoint { entry, address }: &Endpoint) -> EngineRecord {
+        EngineRecord {
+            name: name.to_owned(),
+            address: *address,
+            zone: entry.zone.and_then(|zone| self.sockets.zones.get(zone.0).cloned()),
+            kind: entry.kind.and_then(|kind| self.sockets.kinds.get(kind.0).cloned()),
+            cell: entry.cell.map(|cell| cell.0),
+            is_draining: entry.state == EngineState::Draining,
+            started_us: entry.started.map(|started| started.0),
+        }
+    }
+
+    /// Takes over the list of another process of this gateway if it is newer. Returns the changed endpoints.
+    pub fn apply_record(&mut self, record: &ListRecord) -> Vec<Endpoint> {
+        let mut changes = Vec::new();
+        if !self.version.is_older_than_list(record.version) {
+            return changes;
+        }
+        let mut listed_ids = HashSet::new();
+        for engine_record in &record.engines {
+            let engine = self.id_or_assign(&engine_record.name);
+            listed_ids.insert(engine);
+            self.apply_endpoint(self.endpoint_of_record(engine, engine_record), &mut changes);
         }
+        self.remove_unlisted(&listed_ids, &mut changes);
+        self.version = record.version;
         changes
     }
 
+    fn endpoint_of_record(&self, engine: EngineId, record: &EngineRecord) -> Endpoint {
+        let position = |names: &[String], name: &Option<String>| Self::position(names, name.as_deref()?);
+        let entry = EngineEntry {
+            engine,
+            zone: position(&self.sockets.zones, &record.zone).map(ZoneId),
+            kind: position(&self.sockets.kinds, &record.kind).map(KindId),
+            cell: record.cell.map(CellId),
+            state: if record.is_draining { EngineState::Draining } else { EngineState::InService },
+            started: record.started_us.map(Time),
+        };
+        Endpoint { entry, address: record.address }
+    }
+
     /// The endpoint of an engine according to an answer of the name server. Attributes that the answer omits keep their
     /// previous values. `None` if the answer has no address for the engine and none has ever been known.
     fn endpoint_of_host(&self, engine: EngineId, host: &dns::Host) -> Option<Endpoint> {
--- a/gateway/src/discovery/mod.rs
+++ b/gateway/src/discovery/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod dns;
 pub mod endpoint_list;
+pub mod list_record;
 
 use crate::registry::EndpointRegistry;
 use futures::future::select_all;
--- a/gateway/src/hot_restart.rs
+++ b/gateway/src/hot_restart.rs
@@ -1,7 +1,7 @@
 //! Hot restart: two processes of the same gateway listen at one address while the new one takes over. Each process locks
 //! a file of its own and writes its stage into it; the kernel releases the lock when the process ends, even after a
 //! crash. Each process reads the files of the others to determine its share of the gateway's capacity. A second file
-//! holds the address of a process's console, through which the others reach it.
+//! holds the address of a process's console, through which the others reach it, and a third one its endpoint list.
 
 use reedwalk_operations::{CapacityShare, ProcessStage, capacity_share};
 use slog::{Logger, info, warn};
@@ -37,12 +37,14 @@
     process: PathBuf,
     /// Contains the address of that process's console.
     console: PathBuf,
+    /// Contains that process's endpoint list.
+    endpoint_list: PathBuf,
 }
 
 impl SlotPaths {
     fn new(folder: &Path, stem: &str, slot: usize) -> Self {
         let path = |kind| folder.join(format!("{stem}.{kind}-{slot}"));
-        Self { process: path("process"), console: path("console") }
+        Self { process: path("process"), console: path("console"), endpoint_list: path("endpoints") }
     }
 }
 
@@ -57,6 +59,8 @@
     share: watch::Sender<CapacityShare>,
     /// Console addresses of the other live processes.
     other_consoles: watch::Sender<Vec<SocketAddr>>,
+    /// Paths of the endpoint lists of the other live processes.
+    other_lists: watch::Sender<Vec<PathBuf>>,
     log: Logger,
 }
 
@@ -103,7 +107,13 @@
     pub fn register(folder: &Path, stem: &str, log: Logger) -> Self {
         let slots: Vec<_> = (0..MAX_PROCESSES).map(|slot| SlotPaths::new(folder, stem, slot)).collect();
         let lock_slot = |(slot, paths): (usize, &SlotPaths)| {
-            Some(OwnFile { slot, file: lock_process_file(&paths.process)? })
+            let file = lock_process_file(&paths.process)?;
+            // Left by an earlier process of this slot: its console's address may have passed on to another gateway, and
+            // its list may be of another numbering.
+            for path in [&paths.console, &paths.endpoint_list] {
+                let _ = std::fs::remove_file(path);
+            }
+            Some(OwnFile { slot, file })
         };
         let own = slots.iter().enumerate().find_map(lock_slot);
         if own.is_none() {
@@ -111,8 +121,9 @@
         }
         let (share, _) = watch::channel(CapacityShare::default());
         let (other_consoles, _) = watch::channel(Vec::new());
-        let stage = ProcessStage::Starting;
-        let mut hot_restart = Self { slots, own, stage, others: Vec::new(), share, other_consoles, log };
+        let (other_lists, _) = watch::channel(Vec::new());
+        let (stage, others) = (ProcessStage::Starting, Vec::new());
+        let mut hot_restart = Self { slots, own, stage, others, share, other_consoles, other_lists, log };
         hot_restart.set_stage(stage);
         hot_restart
     }
@@ -127,6 +138,16 @@
         self.other_consoles.subscribe()
     }
 
+    /// Path of this process's endpoint list, for the gateway's other processes; `None` if there was no slot free.
+    pub fn list_path(&self) -> Option<PathBuf> {
+        self.own.as_ref().map(|own| self.slots[own.slot].endpoint_list.clone())
+    }
+
+    /// A receiver of the paths of the endpoint lists of the gateway's other live processes.
+    pub fn other_lists(&self) -> watch::Receiver<Vec<PathBuf>> {
+        self.other_lists.subscribe()
+    }
+
     /// Tells the other processes the address of this process's console.
     pub fn announce_console(&self, address: SocketAddr) {
         let Some(own) = &self.own else { return };
@@ -161,18 +182,16 @@
     pub fn scan(&mut self) {
         let Some(own) = &self.own else { return };
         let other_slots = self.slots.iter().enumerate().filter(|(slot, _)| *slot != own.slot);
-        let (mut others, mut consoles) = (Vec::new(), Vec::new());
+        let (mut others, mut consoles, mut lists) = (Vec::new(), Vec::new(), Vec::new());
         for (_, paths) in other_slots {
             if let Some(stage) = stage_of_lock_holder(&paths.process) {
                 others.push(stage);
                 consoles.extend(read_console_address(&paths.console));
+                lists.push(paths.endpoint_list.clone());
             }
         }
-        self.other_consoles.send_if_modified(|current| {
-            let is_modified = *current != consoles;
-            *current = consoles;
-            is_modified
-        });
+        self.other_consoles.send_replace(consoles);
+        self.other_lists.send_replace(lists);
         let share = capacity_share(self.stage, &others);
         if self.others != others {
             info!(self.log, "other processes changed"; "others" => ?others, "capacity_share" => share.share);
--- a/gateway/src/registry/mod.rs
+++ b/gateway/src/registry/mod.rs
@@ -2,10 +2,13 @@
 //! mutex protects both and the drain guards. It is never held across an await, so operators' commands are answered
 //! regardless of the broker's state.
 
+pub mod list_exchange;
+pub mod list_file;
 pub mod override_file;
 
 use crate::discovery::dns;
 use crate::discovery::endpoint_list::EndpointList;
+use crate::discovery::list_record::{ListRecord, ListVersion};
 use crate::drain_guard::DrainGuards;
 use crate::message::{Endpoint, EndpointMailbox, EndpointUpdate};
 use crate::metrics::Metrics;
@@ -17,6 +20,7 @@
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
 /// Interval at which the override file is checked for overrides that the other process has accepted. They must take
@@ -93,6 +97,7 @@
     endpoints: EndpointMailbox,
     metrics: Arc<Metrics>,
     override_file: Option<Arc<OverrideFile>>,
+    list_version: watch::Sender<ListVersion>,
     log: Logger,
 }
 
@@ -112,8 +117,9 @@
         if offline > 0 {
             info!(log, "engines out of service by stored overrides"; "engines" => offline);
         }
+        let (list_version, _) = watch::channel(list.version());
         let inner = Arc::new(Mutex::new(Inner { list, drain_guards, overrides }));
-        Self { inner, endpoints, metrics, override_file: override_file.map(Arc::new), log }
+        Self { inner, endpoints, metrics, override_file: override_file.map(Arc::new), list_version, log }
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
@@ -163,8 +169,32 @@
         changed
     }
 
+    /// A receiver of the version of the list, which changes with each update that is applied.
+    pub fn list_version(&self) -> watch::Receiver<ListVersion> {
+        self.list_version.subscribe()
+    }
+
+    /// The list without the operators' overrides, for the gateway's other processes.
+    pub fn list_record(&self) -> ListRecord {
+        self.inner().list.record()
+    }
+
+    /// Takes over the list of another process of this gateway if it is newer.
+    pub fn apply_record(&self, record: &ListRecord) {
+        let mut inner = self.inner();
+        let version = inner.list.version();
+        let changes = inner.list.apply_record(record);
+        let changed = self.publish(&mut inner, changes);
+        if inner.list.version() != version {
+            info!(self.log, "endpoint list taken over from another process";
+                "serial" => ?inner.list.serial(), "engines" => changed);
+        }
+    }
+
     /// Updates the drain guards immediately and writes the changes to the broker's mailbox, which is read later.
     fn publish(&self, inner: &mut Inner, changes: Vec<Endpoint>) -> usize {
+        let version = inner.list.version();
+        self.list_version.send_if_modified(|current| std::mem::replace(current, version) != version);
         if changes.is_empty() {
             return 0;
         }
--- a/gateway/src/serve/assembly.rs
+++ b/gateway/src/serve/assembly.rs
@@ -4,7 +4,7 @@
 use super::base::{GossipChannels, StartupContext};
 use super::reload::ConfigReloader;
 use super::running::Running;
-use crate::broker::{Broker, BrokerOptions, QUEUE_CAPACITY};
+use crate::broker::{BrokerOptions, QUEUE_CAPACITY};
 use crate::config::Config;
 use crate::gossip::{self, GossipGroup};
 use crate::message::GossipHandle;
@@ -40,12 +40,12 @@
     let startup = StartupContext::new(config, operator, events, phase_receiver, log)?;
     let console = startup.listen_for_console()?;
     let console_address = console.as_ref().map(|(_, address)| *address);
-    let process_group = startup.join_process_group(console_address);
+    let mut process_group = startup.join_process_group(console_address);
     let shared_store = startup.connect_shared_store()?;
     let (gossip_handle, gossip_channels) = gossip_channels();
     let gossip_handle = group.is_some().then_some(gossip_handle);
     let context = startup.broker_context(&process_group, shared_store.clone(), gossip_handle);
-    let registry = startup.start_registry(&process_group, context.endpoints.clone())?;
+    let registry = startup.start_registry(&mut process_group, context.endpoints.clone())?;
     let (gossip_closing, closing) = watch::channel(false);
     if let Some(group) = group {
         startup.start_gossip(group, gossip_channels, &registry, sources.clone(), closing);
@@ -55,21 +55,17 @@
     let transport = startup.engine_transport();
     let quotas = startup.start_quotas(shared_store)?;
     let options = BrokerOptions { quotas: quotas.clone(), recovery };
-    let broker_log = startup.module_log("broker");
-    let events = startup.events.clone();
-    let broker = Broker::new(scheduler, transport, &startup.deployment, options, context, events, broker_log);
-    let broker_ended = startup.start_broker(broker, event_receiver);
+    let broker_ended = startup.start_broker(scheduler, transport, options, context, event_receiver);
     let lost_cores = startup.watch_cores();
     startup.start_discovery(sources, registry);
     let fronts = startup.start_fronts(quotas, &process_group).await?;
     startup.health.set_serving(true);
     process_group.stage.send_replace(ProcessStage::Serving);
-    let deadlines = startup.deployment.scheduler.classes.iter().map(|class| class.deadline);
     Ok(Running {
         mysql: fronts.mysql,
         console: console_address,
         flight: fronts.flight,
-        longest_deadline: deadlines.max().unwrap_or_default(),
+        longest_deadline: startup.longest_deadline(),
         phase,
         health: startup.health,
         stage: process_group.stage,
--- a/gateway/src/serve/base.rs
+++ b/gateway/src/serve/base.rs
@@ -10,6 +10,7 @@
 use crate::metrics::Metrics;
 use crate::multicore::Multicore;
 use crate::operator::OperatorConfig;
+use crate::registry::list_exchange::ListExchange;
 use crate::session_registry::SessionRegistry;
 use crate::shutdown::Phase;
 use reedwalk_operations::{CapacityShare, ProcessStage};
@@ -19,6 +20,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
 /// Handles and settings that every start-up step needs.
@@ -46,6 +48,8 @@
     pub(super) capacity_share: watch::Receiver<CapacityShare>,
     /// Console addresses of the gateway's other processes.
     pub(super) other_consoles: watch::Receiver<Vec<SocketAddr>>,
+    /// The endpoint lists of the gateway's processes; `None` without a console, or if there was no slot free.
+    pub(super) list_exchange: Option<ListExchange>,
     pub(super) stage: watch::Sender<ProcessStage>,
     /// Whether another process of this gateway was running at the start.
     pub(super) is_second: bool,
@@ -99,6 +103,12 @@
         logging::for_module(&self.log, module)
     }
 
+    /// The longest deadline of all classes.
+    pub(super) fn longest_deadline(&self) -> Duration {
+        let classes = self.deployment.scheduler.classes.iter();
+        classes.map(|class| class.deadline).max().unwrap_or_default()
+    }
+
     /// Addresses are shared only if there is a console, because a hot restart requires one.
     pub(super) fn address_use(&self) -> AddressUse {
         if self.config.console.is_some() { AddressUse::Shared } else { AddressUse::Exclusive }
@@ -116,6 +126,7 @@
                 shared_files: None,
                 capacity_share,
                 other_consoles,
+                list_exchange: None,
                 stage,
                 is_second: false,
             };
@@ -126,8 +137,11 @@
         hot_restart.announce_console(console);
         let (capacity_share, other_consoles) = (hot_restart.share(), hot_restart.other_consoles());
         let (slot, is_second) = (hot_restart.slot(), hot_restart.has_other_processes());
+        let other_lists = hot_restart.other_lists();
+        let log = self.module_log("registry");
+        let list_exchange = hot_restart.list_path().map(|path| ListExchange::new(path, other_lists, log));
         tokio::spawn(hot_restart.watch(stage_receiver));
         let shared_files = Some((folder, stem));
-        ProcessGroup { slot, shared_files, capacity_share, other_consoles, stage, is_second }
+        ProcessGroup { slot, shared_files, capacity_share, other_consoles, list_exchange, stage, is_second }
     }
 }
--- a/gateway/src/serve/subsystems.rs
+++ b/gateway/src/serve/subsystems.rs
@@ -3,7 +3,7 @@
 use super::ServeError;
 use super::base::{Fronts, GossipChannels, ProcessGroup, StartupContext};
 use super::listeners::{AddressUse, listen};
-use crate::broker::{Broker, BrokerContext, RecoverySetup, RequestQueue};
+use crate::broker::{Broker, BrokerContext, BrokerOptions, RecoverySetup, RequestQueue};
 use crate::console::Console;
 use crate::discovery::endpoint_list::EndpointList;
 use crate::discovery::{self, DiscoverySource};
@@ -84,10 +84,11 @@
         }
     }
 
-    /// Starts the endpoint registry, with the endpoint list of the configuration and the operators' overrides.
+    /// Starts the endpoint registry, with the operators' overrides and the newer one of the endpoint lists of the
+    /// configuration and of this gateway's other processes.
     pub(super) fn start_registry(
         &self,
-        process_group: &ProcessGroup,
+        process_group: &mut ProcessGroup,
         endpoints: EndpointMailbox,
     ) -> Result<EndpointRegistry, ServeError> {
         let overrides =
@@ -102,6 +103,10 @@
             info!(self.log, "endpoint list of the configuration read"; "gateway" => &self.config.name,
                 "engines" => engines, "serial" => ?serial);
         }
+        if let Some(mut list_exchange) = process_group.list_exchange.take() {
+            list_exchange.read_others(&registry);
+            tokio::spawn(list_exchange.run(registry.clone()));
+        }
         tokio::spawn(registry.clone().watch_override_file());
         Ok(registry)
     }
@@ -221,9 +226,14 @@
     /// Starts the broker task. The value of the receiver becomes true once the task has ended.
     pub(super) fn start_broker(
         &self,
-        broker: Broker<Box<dyn EngineTransport>>,
+        scheduler: Scheduler,
+        transport: Box<dyn EngineTransport>,
+        options: BrokerOptions,
+        context: BrokerContext,
         events: mpsc::Receiver<BrokerEvent>,
     ) -> watch::Receiver<bool> {
+        let (sender, log) = (self.events.clone(), self.module_log("broker"));
+        let broker = Broker::new(scheduler, transport, &self.deployment, options, context, sender, log);
         let task = self.multicore.spawn_broker(broker.run(events));
         let (ended, broker_ended) = watch::channel(false);
         let log = self.log.clone();
--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -6,12 +6,14 @@
 use hickory_proto::op::ResponseCode;
 use reedwalk_gateway::discovery::dns::{AnswerError, encode_query, parse_answer};
 use reedwalk_gateway::discovery::endpoint_list::EndpointList;
+use reedwalk_gateway::discovery::list_record::{ListRecord, ListVersion};
 use reedwalk_gateway::discovery::{DiscoverySource, poll_endpoint_list};
 use reedwalk_gateway::drain_guard::DrainGuards;
 use reedwalk_gateway::message::{Endpoint, EndpointMailbox};
 use reedwalk_gateway::metrics::Metrics;
 use reedwalk_gateway::registry::EndpointRegistry;
 use reedwalk_scheduler::{EngineState, Time};
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 use support::discovery_server::{
@@ -118,6 +120,46 @@
     assert_eq!(apply(&mut list, 3, &[engine("s-0", 1), engine("s-2", 3)]).len(), 1);
 }
 
+/// A list with this version and no engines, as another process of the gateway gives it.
+fn record(serial: Option<u32>, incomplete_serial: Option<u32>) -> ListRecord {
+    ListRecord { version: ListVersion { serial, incomplete_serial }, engines: Vec::new() }
+}
+
+#[test]
+fn record_of_another_process_applies_only_if_it_is_newer() {
+    let mut other = empty_list();
+    apply(
+        &mut other,
+        7,
+        &[ListedEngine { draining: true, started_ms: 9, ..engine("s-0", 1) }, engine("s-1", 2)],
+    );
+    let newer = other.record();
+    assert_eq!(newer, serde_json::from_str(&serde_json::to_string(&newer).unwrap()).unwrap());
+    let mut list = empty_list();
+    apply(&mut list, 6, &[engine("s-0", 1), engine("s-2", 3)]);
+    assert!(list.apply_record(&record(Some(5), None)).is_empty(), "an older list");
+    assert!(list.apply_record(&record(Some(6), None)).is_empty(), "the same list");
+    let changes = list.apply_record(&newer);
+    let states: Vec<_> = changes.iter().map(|c| (c.address.ip().to_string(), c.entry.state)).collect();
+    assert!(states.contains(&("10.1.0.1".into(), EngineState::Draining)), "{states:?}");
+    assert!(states.contains(&("10.1.0.3".into(), EngineState::Removed)), "{states:?}");
+    assert_eq!((states.len(), list.serial()), (3, Some(7)));
+    assert_eq!(list.record().version, newer.version);
+    let entry = |list: &EndpointList| {
+        list.endpoints()
+            .map(|e| (e.address, e.entry.zone, e.entry.kind, e.entry.cell, e.entry.started))
+            .collect::<HashSet<_>>()
+    };
+    assert_eq!(entry(&list), entry(&other), "the attributes of the engines are kept");
+    assert!(apply(&mut list, 7, &[]).is_empty(), "the answer that the other process has applied");
+    // An incomplete list is as new as its answer; a complete one with the same serial replaces it.
+    let incomplete = ListVersion { serial: Some(7), incomplete_serial: Some(9) };
+    assert!(!list.apply_record(&ListRecord { version: incomplete, ..newer.clone() }).iter().any(|_| true));
+    assert_eq!(list.version(), incomplete);
+    assert_eq!(list.apply_record(&record(Some(8), None)).len(), 0, "older than the incomplete one");
+    assert_eq!(list.apply_record(&record(Some(9), None)).len(), 2);
+}
+
 #[test]
 fn names_of_removed_engines_are_evicted() {
     let mut list = empty_list();
--- a/gateway/tests/operation/main.rs
+++ b/gateway/tests/operation/main.rs
@@ -4,6 +4,7 @@
 mod support;
 
 mod console;
+mod endpoint_list;
 mod hot_restart;
 mod metrics;
 mod overrides;
--- a/gateway/tests/operation/shared_site.rs
+++ b/gateway/tests/operation/shared_site.rs
@@ -28,15 +28,19 @@
 impl SharedSite {
     /// A gateway with these engines and this limit on file descriptors; no process is started yet.
     pub fn new(engines: &[SocketAddr], sockets: usize) -> Self {
+        Self::with_config(ProcessConfig { sockets, ..ProcessConfig::new(engines) })
+    }
+
+    /// A gateway with this configuration, at an address of its own; no process is started yet.
+    pub fn with_config(config: ProcessConfig) -> Self {
         let reserved = tokio::net::TcpSocket::new_v4().unwrap();
         reserved.set_reuseport(true).unwrap();
         reserved.set_reuseaddr(true).unwrap();
         reserved.bind(ANY_PORT.parse().unwrap()).unwrap();
         let (folder, listen) = (folder(), reserved.local_addr().unwrap());
-        let config = folder.with_extension("json");
-        let file = ProcessConfig { listen, sockets, ..ProcessConfig::new(engines) };
-        std::fs::write(&config, file.text()).unwrap();
-        Self { folder, config, listen, _reserved: reserved }
+        let path = folder.with_extension("json");
+        std::fs::write(&path, ProcessConfig { listen, ..config }.text()).unwrap();
+        Self { folder, config: path, listen, _reserved: reserved }
     }
 
     /// Starts one more process.
--- a/testkit/src/discovery_server.rs
+++ b/testkit/src/discovery_server.rs
@@ -6,6 +6,7 @@
 use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::str::FromStr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -95,6 +96,28 @@
     (address, answer_count)
 }
 
+/// Starts a discovery server that answers each query with the current list, unless the returned flag is set. Returns its
+/// address and the flag.
+///
+/// # Panics
+///
+/// If no socket can be bound.
+pub async fn start_silenceable_server(list: EngineList) -> (SocketAddr, Arc<AtomicBool>) {
+    let (socket, address) = bind().await;
+    let is_silent = Arc::new(AtomicBool::new(false));
+    let flag = is_silent.clone();
+    tokio::spawn(async move {
+        let mut buffer = [0; MAX_QUERY_BYTES];
+        while let Ok((size, client)) = socket.recv_from(&mut buffer).await {
+            if !flag.load(Ordering::Relaxed) {
+                let answer = encoded_answer(&buffer[..size], &list);
+                socket.send_to(&answer, client).await.unwrap();
+            }
+        }
+    });
+    (address, is_silent)
+}
+
 /// Starts a discovery server that answers each query with the same list after `delay`. Returns its address.
 ///
 /// # Panics
