Keep a list of the configuration from replacing a newer incomplete answer at SIGHUP

What callers saw: nothing yet; found by asking whether an older list can replace a newer one. An engine that an answer without an address had removed came back into service at SIGHUP. Cause: the list of a reloaded configuration was compared with the last complete answer only (endpoint_list.rs, apply_newer_events), while answers are also compared with the last incomplete one, which takes effect too. Change: one comparison for both (ListVersion::is_older_than). Result: older_configuration_never_reverts_a_newer_incomplete_answer failed before ('an older configuration added s-1 again') and passes.

--- a/gateway/src/discovery/endpoint_list.rs
+++ b/gateway/src/discovery/endpoint_list.rs
@@ -174,7 +174,7 @@
         events: &serde_json::Value,
     ) -> Result<Vec<Endpoint>, serde_json::Error> {
         let seq = ListEvents::deserialize(events)?.seq;
-        if self.version.is_complete_list_older_than(seq) { self.apply_events(events) } else { Ok(Vec::new()) }
+        if self.version.is_older_than(seq) { self.apply_events(events) } else { Ok(Vec::new()) }
     }
 
     /// Applies an answer of the name server, which is the complete list, unless it is not newer than the current list.
--- a/gateway/src/discovery/list_record.rs
+++ b/gateway/src/discovery/list_record.rs
@@ -27,11 +27,6 @@
         }
     }
 
-    /// Whether a complete list with this serial is newer than the last complete one.
-    pub fn is_complete_list_older_than(self, serial: u32) -> bool {
-        self.serial.is_none_or(|complete| is_later(serial, complete))
-    }
-
     /// Whether a complete list with this serial is newer. One that completes an incomplete list is.
     pub fn is_older_than(self, serial: u32) -> bool {
         let is_after_complete = self.serial.is_none_or(|complete| is_later(serial, complete));
--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -120,6 +120,27 @@
     assert_eq!(apply(&mut list, 3, &[engine("s-0", 1), engine("s-2", 3)]).len(), 1);
 }
 
+/// Guards against a list that a reload of the configuration turns back: an incomplete answer that removes an engine counted
+/// as if it had never been applied.
+#[test]
+fn older_configuration_never_reverts_a_newer_incomplete_answer() {
+    let mut list = empty_list();
+    apply(&mut list, 1, &[engine("s-0", 1), engine("s-1", 2)]);
+    let mut incomplete = answer(7, 5, &[engine("s-0", 1), engine("s-2", 3)]);
+    incomplete.additionals.clear();
+    let changes = list.apply_answer(parse_answer(&incomplete.to_vec().unwrap(), &[7]).unwrap());
+    assert_eq!(changes.iter().map(|c| c.entry.state).collect::<Vec<_>>(), [EngineState::Removed]);
+    let addresses = ["10.1.0.1:8080".parse().unwrap(), "10.1.0.2:8080".parse().unwrap()];
+    let mut configured = support::initial_endpoints(&addresses);
+    configured["seq"] = 3.into();
+    assert!(
+        list.apply_newer_events(&configured).unwrap().is_empty(),
+        "an older configuration added s-1 again"
+    );
+    configured["seq"] = 5.into();
+    assert_eq!(list.apply_newer_events(&configured).unwrap().len(), 1, "this one completes the list");
+}
+
 /// A list with this version and no engines, as another process of the gateway gives it.
 fn record(serial: Option<u32>, incomplete_serial: Option<u32>) -> ListRecord {
     ListRecord { version: ListVersion { serial, incomplete_serial }, engines: Vec::new() }
