Let a Flight SQL connection take turns with everything else on its thread

Cause: HTTP/2 handles every frame that it can read, and writes the answer to each, before it returns. Change: a connection yields after 16 reads and writes.

--- a/gateway/src/front/flight/mod.rs
+++ b/gateway/src/front/flight/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod header;
 pub mod metadata;
+mod paced_stream;
 mod result;
 mod service;
 mod ticket;
@@ -18,6 +19,7 @@
 use calls::Calls;
 use hyper::server::conn::http2;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use paced_stream::PacedStream;
 use reedwalk_settings::Deployment;
 pub use service::Service;
 use slog::{Logger, debug};
@@ -111,7 +113,7 @@
     server.timer(TokioTimer::new()).keep_alive_interval(PING_INTERVAL).max_concurrent_streams(MAX_STREAMS);
     server.max_header_list_size(MAX_HEAD_BYTES);
     server.initial_connection_window_size(WINDOW_BYTES).initial_stream_window_size(WINDOW_BYTES);
-    let connection = server.serve_connection(TokioIo::new(stream), calls);
+    let connection = server.serve_connection(TokioIo::new(PacedStream::new(stream)), calls);
     let mut connection = pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
