Refuse the id of a request that must not run twice when it comes again

Cause: the broker refuses an id only while a request with it is open. A cancelled attempt does not prove that its engine has stopped, and the other process of a hot restart knew no id at all. In a hot restart the processes exchange such ids through files beside their stage; a claim is written before the others' are read.

--- a/gateway/src/broker/admission.rs
+++ b/gateway/src/broker/admission.rs
@@ -43,6 +43,12 @@
                 return response.send(Response::Rejected { reason, retry_after: None });
             }
         };
+        if let Some(trace_id) = self.single_run_id(&request)
+            && !self.single_runs.claim(trace_id, now)
+        {
+            self.counters.failed += 1;
+            return response.send(Response::Failed(Failure::IdInUse));
+        }
         let (at, timer) = request_timer(id, request.deadline);
         self.timers.arm(at, timer);
         self.requests.insert(id, OpenRequest::new(request, response));
--- a/gateway/src/broker/mod.rs
+++ b/gateway/src/broker/mod.rs
@@ -15,6 +15,7 @@
 mod request_queue;
 mod request_table;
 mod requests;
+mod single_runs;
 mod timers;
 
 pub use counters::Counters;
@@ -26,6 +27,7 @@
 };
 use crate::metrics::Metrics;
 use crate::quotas::QuotaManager;
+use crate::request_ids::RequestIdExchange;
 use crate::shared_store::client::SharedStoreClient;
 use crate::shutdown::Phase;
 use crate::unix_clock::unix_micros;
@@ -34,9 +36,10 @@
 use idempotency::IdempotencyTracker;
 use recovery_guard::RecoveryGuard;
 use reedwalk_operations::CapacityShare;
-use reedwalk_scheduler::{EndpointScope, EngineState, Event, Scheduler, Time};
+use reedwalk_scheduler::{EndpointScope, EngineState, Event, Idempotency, Scheduler, Time};
 use reedwalk_settings::Deployment;
 use request_table::RequestTable;
+use single_runs::SingleRunIds;
 use slog::Logger;
 use std::sync::Arc;
 use std::time::Duration;
@@ -80,6 +83,8 @@
     pub quotas: Option<Arc<QuotaManager>>,
     /// Persistence and recovery of the broker's state, if enabled.
     pub recovery: Option<RecoverySetup>,
+    /// Exchange of requests' ids with the gateway's other processes, if there can be any.
+    pub request_ids: Option<RequestIdExchange>,
 }
 
 /// Limits from the settings that apply to requests.
@@ -88,6 +93,8 @@
     retry_after: Option<Duration>,
     /// For each class, how long engines remember its idempotency keys; `None` for a class without keys.
     dedup_windows: Vec<Option<Duration>>,
+    /// For each class, whether its requests must not run twice.
+    runs_once: Vec<bool>,
     /// Whether a request may have two attempts in flight (hedging).
     allows_hedging: bool,
 }
@@ -95,11 +102,13 @@
 impl RequestLimits {
     fn new(deployment: &Deployment) -> Self {
         let classes = deployment.scheduler.classes.iter();
+        let runs_once = classes.clone().map(|class| class.idempotency == Idempotency::NonIdempotent);
         let deduplication = classes.map(|class| class.idempotency.deduplication());
         let limits = &deployment.scheduler.limits;
         Self {
             max_attempts: limits.max_attempts,
             retry_after: limits.max_retry_after,
+            runs_once: runs_once.collect(),
             dedup_windows: deduplication.map(|keys| keys.map(|keys| keys.window)).collect(),
             allows_hedging: deployment.sockets.allows_hedging,
         }
@@ -134,6 +143,7 @@
     recovery: Option<RecoveryGuard>,
     limits: RequestLimits,
     requests: RequestTable,
+    single_runs: SingleRunIds,
     attempts: AttemptTable,
     timers: Timers,
     clock: SchedulerClock,
@@ -178,6 +188,7 @@
             recovery,
             limits: RequestLimits::new(deployment),
             requests: RequestTable::new(deployment.sockets.max_open_requests.min(MAX_OPEN_REQUESTS)),
+            single_runs: SingleRunIds::new(options.request_ids),
             attempts: AttemptTable::default(),
             timers: Timers::default(),
             clock: SchedulerClock::start(now),
@@ -202,6 +213,7 @@
                 () = self.context.endpoints.changed() => {}
                 Ok(()) = self.context.share.changed() => {}
                 Ok(()) = self.context.phase.changed() => {}
+                () = self.single_runs.processes_changed() => self.single_runs.update_processes(Instant::now()),
                 () = sleep_until(wake_up) => {}
             }
             let now = Instant::now();
--- a/gateway/src/broker/requests.rs
+++ b/gateway/src/broker/requests.rs
@@ -2,7 +2,8 @@
 
 use super::timers::Timer;
 use super::{Broker, DISCONNECT_SCAN_INTERVAL};
-use crate::message::{Charge, EngineTransport, Failure, Rejection, Response};
+use crate::message::{Charge, EngineTransport, Failure, Rejection, Request, Response};
+use crate::request_ids::TraceId;
 use reedwalk_scheduler::{Event, Outcome, RequestId};
 use slog::debug;
 use std::time::Duration;
@@ -105,9 +106,22 @@
         if let Some(open) = self.requests.remove_if_complete(id) {
             let (at, timer) = request_timer(id, open.request.deadline);
             self.timers.disarm(at, timer);
+            if let Some(trace_id) = self.single_run_id(&open.request) {
+                if open.may_have_run {
+                    self.single_runs.block(trace_id, Instant::now());
+                } else {
+                    self.single_runs.release(trace_id);
+                }
+            }
         }
     }
 
+    /// The client's id of a request whose class must not run twice; `None` for all others.
+    pub(super) fn single_run_id(&self, request: &Request) -> Option<TraceId> {
+        let runs_once = self.limits.runs_once.get(request.class.0).copied().unwrap_or_default();
+        if runs_once { TraceId::parse(&request.trace_id) } else { None }
+    }
+
     /// Moves all request deadlines that are later than `end` to `end`.
     pub(super) fn shorten_deadlines(&mut self, end: Instant) {
         for (id, open) in self.requests.with_deadline_after(end) {
--- a/gateway/src/hot_restart.rs
+++ b/gateway/src/hot_restart.rs
@@ -1,7 +1,7 @@
 //! Hot restart: two processes of the same gateway listen at one address while the new one takes over. Each process locks
 //! a file of its own and writes its stage into it; the kernel releases the lock when the process ends, even after a
 //! crash. Each process reads the files of the others to determine its share of the gateway's capacity. A second file
-//! holds the address of a process's console, through which the others reach it, and a third one its endpoint list.
+//! holds the address of a process's console, through which the others reach it; others hold what the processes exchange.
 
 use reedwalk_operations::{CapacityShare, ProcessStage, capacity_share};
 use slog::{Logger, info, warn};
@@ -37,14 +37,24 @@
     process: PathBuf,
     /// Contains the address of that process's console.
     console: PathBuf,
-    /// Contains that process's endpoint list.
-    endpoint_list: PathBuf,
+    /// What that process gives to the others.
+    exchanged: ProcessFiles,
+}
+
+/// The files through which a process gives its state to the gateway's other processes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProcessFiles {
+    /// Its endpoint list.
+    pub endpoint_list: PathBuf,
+    /// The ids of its requests that must not run twice.
+    pub request_ids: PathBuf,
 }
 
 impl SlotPaths {
     fn new(folder: &Path, stem: &str, slot: usize) -> Self {
         let path = |kind| folder.join(format!("{stem}.{kind}-{slot}"));
-        Self { process: path("process"), console: path("console"), endpoint_list: path("endpoints") }
+        let exchanged = ProcessFiles { endpoint_list: path("endpoints"), request_ids: path("requests") };
+        Self { process: path("process"), console: path("console"), exchanged }
     }
 }
 
@@ -59,8 +69,8 @@
     share: watch::Sender<CapacityShare>,
     /// Console addresses of the other live processes.
     other_consoles: watch::Sender<Vec<SocketAddr>>,
-    /// Paths of the endpoint lists of the other live processes.
-    other_lists: watch::Sender<Vec<PathBuf>>,
+    /// Files of the other live processes.
+    other_files: watch::Sender<Vec<ProcessFiles>>,
     log: Logger,
 }
 
@@ -110,7 +120,7 @@
             let file = lock_process_file(&paths.process)?;
             // Left by an earlier process of this slot: its console's address may have passed on to another gateway, and
             // its list may be of another numbering.
-            for path in [&paths.console, &paths.endpoint_list] {
+            for path in [&paths.console, &paths.exchanged.endpoint_list, &paths.exchanged.request_ids] {
                 let _ = std::fs::remove_file(path);
             }
             Some(OwnFile { slot, file })
@@ -121,9 +131,9 @@
         }
         let (share, _) = watch::channel(CapacityShare::default());
         let (other_consoles, _) = watch::channel(Vec::new());
-        let (other_lists, _) = watch::channel(Vec::new());
+        let (other_files, _) = watch::channel(Vec::new());
         let (stage, others) = (ProcessStage::Starting, Vec::new());
-        let mut hot_restart = Self { slots, own, stage, others, share, other_consoles, other_lists, log };
+        let mut hot_restart = Self { slots, own, stage, others, share, other_consoles, other_files, log };
         hot_restart.set_stage(stage);
         hot_restart
     }
@@ -138,14 +148,14 @@
         self.other_consoles.subscribe()
     }
 
-    /// Path of this process's endpoint list, for the gateway's other processes; `None` if there was no slot free.
-    pub fn list_path(&self) -> Option<PathBuf> {
-        self.own.as_ref().map(|own| self.slots[own.slot].endpoint_list.clone())
+    /// The files of this process; `None` if there was no slot free.
+    pub fn files(&self) -> Option<ProcessFiles> {
+        self.own.as_ref().map(|own| self.slots[own.slot].exchanged.clone())
     }
 
-    /// A receiver of the paths of the endpoint lists of the gateway's other live processes.
-    pub fn other_lists(&self) -> watch::Receiver<Vec<PathBuf>> {
-        self.other_lists.subscribe()
+    /// A receiver of the files of the gateway's other live processes.
+    pub fn other_files(&self) -> watch::Receiver<Vec<ProcessFiles>> {
+        self.other_files.subscribe()
     }
 
     /// Tells the other processes the address of this process's console.
@@ -182,16 +192,20 @@
     pub fn scan(&mut self) {
         let Some(own) = &self.own else { return };
         let other_slots = self.slots.iter().enumerate().filter(|(slot, _)| *slot != own.slot);
-        let (mut others, mut consoles, mut lists) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut others, mut consoles, mut files) = (Vec::new(), Vec::new(), Vec::new());
         for (_, paths) in other_slots {
             if let Some(stage) = stage_of_lock_holder(&paths.process) {
                 others.push(stage);
                 consoles.extend(read_console_address(&paths.console));
-                lists.push(paths.endpoint_list.clone());
+                files.push(paths.exchanged.clone());
             }
         }
         self.other_consoles.send_replace(consoles);
-        self.other_lists.send_replace(lists);
+        self.other_files.send_if_modified(|current| {
+            let is_modified = *current != files;
+            *current = files;
+            is_modified
+        });
         let share = capacity_share(self.stage, &others);
         if self.others != others {
             info!(self.log, "other processes changed"; "others" => ?others, "capacity_share" => share.share);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod persistence;
 pub mod quotas;
 pub mod registry;
+pub mod request_ids;
 pub mod request_memory;
 pub mod serve;
 pub mod session_registry;
--- a/gateway/src/registry/list_exchange.rs
+++ b/gateway/src/registry/list_exchange.rs
@@ -2,6 +2,7 @@
 //! gateway: what the name server has told to one of them binds the others, also while it does not answer.
 
 use super::{EndpointRegistry, list_file};
+use crate::hot_restart::ProcessFiles;
 use slog::{Logger, warn};
 use std::collections::HashMap;
 use std::path::{Path, PathBuf};
@@ -16,7 +17,7 @@
 #[derive(Debug)]
 pub struct ListExchange {
     own_path: PathBuf,
-    other_paths: watch::Receiver<Vec<PathBuf>>,
+    other_files: watch::Receiver<Vec<ProcessFiles>>,
     /// When each file of another process was replaced, as of the last read.
     last_read: HashMap<PathBuf, SystemTime>,
     log: Logger,
@@ -24,8 +25,8 @@
 
 impl ListExchange {
     /// Writes this process's list to `own_path`, and reads those of the other processes.
-    pub fn new(own_path: PathBuf, other_paths: watch::Receiver<Vec<PathBuf>>, log: Logger) -> Self {
-        Self { own_path, other_paths, last_read: HashMap::new(), log }
+    pub fn new(own_path: PathBuf, other_files: watch::Receiver<Vec<ProcessFiles>>, log: Logger) -> Self {
+        Self { own_path, other_files, last_read: HashMap::new(), log }
     }
 
     /// Exchanges lists for as long as the process runs.
@@ -50,7 +51,9 @@
 
     /// Takes over the lists of the other processes that are newer than this one's.
     pub fn read_others(&mut self, registry: &EndpointRegistry) {
-        let paths = self.other_paths.borrow().clone();
+        let files = self.other_files.borrow();
+        let paths: Vec<_> = files.iter().map(|files| files.endpoint_list.clone()).collect();
+        drop(files);
         self.last_read.retain(|path, _| paths.contains(path));
         for path in paths {
             self.read_other(&path, registry);
--- a/gateway/src/serve/assembly.rs
+++ b/gateway/src/serve/assembly.rs
@@ -54,7 +54,8 @@
     startup.start_console(console, &registry);
     let transport = startup.engine_transport();
     let quotas = startup.start_quotas(shared_store)?;
-    let options = BrokerOptions { quotas: quotas.clone(), recovery };
+    let request_ids = process_group.request_ids.take();
+    let options = BrokerOptions { quotas: quotas.clone(), recovery, request_ids };
     let broker_ended = startup.start_broker(scheduler, transport, options, context, event_receiver);
     let lost_cores = startup.watch_cores();
     startup.start_discovery(sources, registry);
--- a/gateway/src/serve/base.rs
+++ b/gateway/src/serve/base.rs
@@ -11,6 +11,7 @@
 use crate::multicore::Multicore;
 use crate::operator::OperatorConfig;
 use crate::registry::list_exchange::ListExchange;
+use crate::request_ids::RequestIdExchange;
 use crate::session_registry::SessionRegistry;
 use crate::shutdown::Phase;
 use reedwalk_operations::{CapacityShare, ProcessStage};
@@ -50,6 +51,8 @@
     pub(super) other_consoles: watch::Receiver<Vec<SocketAddr>>,
     /// The endpoint lists of the gateway's processes; `None` without a console, or if there was no slot free.
     pub(super) list_exchange: Option<ListExchange>,
+    /// The ids of requests in the gateway's processes; `None` likewise.
+    pub(super) request_ids: Option<RequestIdExchange>,
     pub(super) stage: watch::Sender<ProcessStage>,
     /// Whether another process of this gateway was running at the start.
     pub(super) is_second: bool,
@@ -127,6 +130,7 @@
                 capacity_share,
                 other_consoles,
                 list_exchange: None,
+                request_ids: None,
                 stage,
                 is_second: false,
             };
@@ -137,11 +141,23 @@
         hot_restart.announce_console(console);
         let (capacity_share, other_consoles) = (hot_restart.share(), hot_restart.other_consoles());
         let (slot, is_second) = (hot_restart.slot(), hot_restart.has_other_processes());
-        let other_lists = hot_restart.other_lists();
-        let log = self.module_log("registry");
-        let list_exchange = hot_restart.list_path().map(|path| ListExchange::new(path, other_lists, log));
+        let (files, others) = (hot_restart.files(), hot_restart.other_files());
+        let (registry_log, broker_log) = (self.module_log("registry"), self.module_log("broker"));
+        let list_exchange = files
+            .as_ref()
+            .map(|files| ListExchange::new(files.endpoint_list.clone(), others.clone(), registry_log));
+        let request_ids = files.map(|files| RequestIdExchange::new(files.request_ids, others, broker_log));
         tokio::spawn(hot_restart.watch(stage_receiver));
         let shared_files = Some((folder, stem));
-        ProcessGroup { slot, shared_files, capacity_share, other_consoles, list_exchange, stage, is_second }
+        ProcessGroup {
+            slot,
+            shared_files,
+            capacity_share,
+            other_consoles,
+            list_exchange,
+            request_ids,
+            stage,
+            is_second,
+        }
     }
 }
--- a/gateway/tests/hostile_clients/http2.rs
+++ b/gateway/tests/hostile_clients/http2.rs
@@ -1,6 +1,9 @@
 //! A client that writes HTTP/2 frames by hand, so that it can send what no library sends: incomplete requests, heads of
 //! many fields, and frames at full speed.
 
+use arrow_flight::sql::{CommandStatementUpdate, ProstMessageExt};
+use arrow_flight::{FlightData, FlightDescriptor};
+use prost::Message;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -98,6 +101,14 @@
     [0, a, b, c, d]
 }
 
+/// The message with which a client submits an update over Flight SQL.
+pub fn update_message(statement: &str) -> Vec<u8> {
+    let command = CommandStatementUpdate { query: statement.to_owned(), transaction_id: None };
+    let descriptor = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
+    let data = FlightData { flight_descriptor: Some(descriptor), ..FlightData::default() }.encode_to_vec();
+    [&message_prefix(data.len() as u32)[..], &data].concat()
+}
+
 /// An open connection.
 pub struct Connection {
     pub stream: TcpStream,
--- a/gateway/tests/hostile_clients/incomplete_requests.rs
+++ b/gateway/tests/hostile_clients/incomplete_requests.rs
@@ -1,13 +1,10 @@
 //! Requests that are never completed: their bytes count towards the memory limit from the first one read.
 
-use super::http2::{self, Connection, DO_PUT, GET_FLIGHT_INFO};
+use super::http2::{self, Connection, DO_PUT, GET_FLIGHT_INFO, update_message};
 use super::support::mysql::{Client, fields, login_packet, packet, query_packet};
 use super::support::until;
 use super::{FLIGHT_CONNECTIONS, Site};
-use arrow_flight::sql::{CommandStatementUpdate, ProstMessageExt};
-use arrow_flight::{FlightData, FlightDescriptor};
 use futures::future::join_all;
-use prost::Message;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -140,14 +137,6 @@
     site.assert_serves_others(5).await;
 }
 
-/// The message with which a client submits an update over Flight SQL.
-fn update_message(statement: &str) -> Vec<u8> {
-    let command = CommandStatementUpdate { query: statement.to_owned(), transaction_id: None };
-    let descriptor = FlightDescriptor::new_cmd(command.as_any().encode_to_vec());
-    let data = FlightData { flight_descriptor: Some(descriptor), ..FlightData::default() }.encode_to_vec();
-    [&http2::message_prefix(data.len() as u32)[..], &data].concat()
-}
-
 /// Guards against the same with frames of a single byte that follow an update while it runs: unread, each takes far more
 /// memory than its byte.
 #[tokio::test]
--- a/gateway/tests/hostile_clients/main.rs
+++ b/gateway/tests/hostile_clients/main.rs
@@ -4,6 +4,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod departed_clients;
 mod flood;
 mod http2;
 mod incomplete_requests;
--- a/gateway/tests/operation/main.rs
+++ b/gateway/tests/operation/main.rs
@@ -8,6 +8,7 @@
 mod hot_restart;
 mod metrics;
 mod overrides;
+mod request_ids;
 mod shared_site;
 
 use reedwalk_gateway::config::Config;
--- a/gateway/tests/operation/shared_site.rs
+++ b/gateway/tests/operation/shared_site.rs
@@ -48,6 +48,13 @@
         Process::start(&self.config, &self.folder, None)
     }
 
+    /// Starts one more process, which also serves Flight SQL at an address of its own.
+    pub fn start_with_flight(&self) -> Process {
+        let operator = self.folder.join("operator.kdl");
+        std::fs::write(&operator, "flight {\n    listen \"127.0.0.1:0\"\n}\n").unwrap();
+        Process::start(&self.config, &self.folder, Some(&operator))
+    }
+
     /// Waits until only one process listens at the address for clients, and connects to it.
     pub async fn connect_to_only_listener(&self) -> Client {
         until("one process listens", || listening_sockets(self.listen.port()) == 1).await;
