Connect a channel to a Flight SQL engine once

Cause: a gRPC channel reconnects by itself to its address between two calls (engine/flight/mod.rs, connect_lazily). After a rolling restart DoGet went to the new process with a ticket of the old one. Evidence: ticket_of_an_ended_engine_is_not_fetched_at_its_successor shows GetFlightInfo at process 0 and DoGet at process 1 with nothing before it, answered as served. The same test with RESP engines does not show it: pages are read on their own connection. Change: a channel connects once and counts as closed when its connection has ended. A call on an ended connection was never sent, or may have run if the engine had answered before. Result: the test passes on both fronts, for a repeatable class (asked anew at the new process) and one that runs at most once (nothing more is sent).

--- a/gateway/src/engine/flight/mod.rs
+++ b/gateway/src/engine/flight/mod.rs
@@ -16,23 +16,42 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout_at};
+use tokio_util::io::InspectReader;
 use tonic::transport::{Channel, Endpoint, Uri};
 
-/// A channel and the thread that it runs on.
+/// A channel, its only connection, and the thread that it runs on.
 struct Connection {
     channel: Channel,
+    state: Arc<ConnectionState>,
     slot: ConnectionSlot,
 }
 
-// A channel reconnects by itself, so it is never closed.
 impl ConnectionHandle for Connection {
     fn is_closed(&self) -> bool {
-        false
+        self.state.has_ended.load(Ordering::Relaxed)
+    }
+}
+
+/// The state of a channel's only connection. A channel would reconnect by itself, and the process that it reaches then may
+/// be another one at the same address, to which the tickets of the first mean nothing, or something else.
+#[derive(Debug, Default)]
+struct ConnectionState {
+    was_opened: AtomicBool,
+    has_ended: AtomicBool,
+}
+
+/// Marks a connection as ended when it is dropped.
+struct EndOnDrop(Arc<ConnectionState>);
+
+impl Drop for EndOnDrop {
+    fn drop(&mut self) {
+        self.0.has_ended.store(true, Ordering::Relaxed);
     }
 }
 
@@ -66,9 +85,10 @@
     }
 }
 
-/// Creates a channel that connects on its first call, within `connect_timeout`.
+/// Creates a channel that connects on its first call, within `connect_timeout`, and never again.
 fn connect_lazily(
     address: SocketAddr,
+    state: Arc<ConnectionState>,
     read_activity: Arc<ReadActivity>,
     drain_guard: DrainGuard,
     connect_timeout: Duration,
@@ -76,7 +96,11 @@
     let connect = move |_: Uri| {
         let deadline = Instant::now() + connect_timeout;
         let (read_activity, drain_guard) = (read_activity.clone(), drain_guard.clone());
+        let end_on_drop = EndOnDrop(state.clone());
         async move {
+            if end_on_drop.0.was_opened.swap(true, Ordering::Relaxed) {
+                return Err(std::io::ErrorKind::NotConnected.into());
+            }
             let stream = timeout_at(deadline, TcpStream::connect(address)).await??;
             stream.set_nodelay(true)?;
             read_activity.record_read();
@@ -84,6 +108,7 @@
                 // The engine has drained; another engine may be listening on its address by now.
                 return Err(std::io::ErrorKind::ConnectionRefused.into());
             }
+            let stream = InspectReader::new(stream, move |_: &[u8]| _ = &end_on_drop);
             Ok::<_, std::io::Error>(TokioIo::new(stream))
         }
     };
@@ -100,11 +125,12 @@
         let connect_timeout = self.sockets.connect_timeout;
         let multicore = &self.multicore;
         let acquired = self.pool.acquire(&attempt, now, |address, read_activity, drain_guard| {
-            let slot = multicore.place_connection();
+            let (slot, state) = (multicore.place_connection(), Arc::<ConnectionState>::default());
             // The channel spawns a background task, which must run on the thread of the slot.
-            let channel =
-                slot.enter(|| connect_lazily(address, read_activity, drain_guard.clone(), connect_timeout));
-            Connection { channel, slot }
+            let channel = slot.enter(|| {
+                connect_lazily(address, state.clone(), read_activity, drain_guard.clone(), connect_timeout)
+            });
+            Connection { channel, state, slot }
         });
         let Some((connection, read_activity, drain_guard)) = acquired else { return false };
         let class = self.sockets.classes.get(attempt.class.0).cloned().unwrap_or_default();
--- a/gateway/src/engine/flight/response.rs
+++ b/gateway/src/engine/flight/response.rs
@@ -12,19 +12,26 @@
 use reedwalk_scheduler::{LoadReport, Outcome, ResourceUsage};
 use reedwalk_settings::duration_from_ms;
 use std::error::Error;
+use std::io::ErrorKind;
 use std::sync::Arc;
 use tonic::metadata::MetadataMap;
 use tonic::{Code, Status};
 
-/// The outcome of an attempt whose call ended with an error. Only two errors prove that it never ran: a connection that
-/// could not be established, and RESOURCE_EXHAUSTED from the engine before any part of a response.
+/// The outcome of an attempt whose call ended with an error. Only three errors prove that it never ran: a connection that
+/// could not be established, one that had ended before the call, and RESOURCE_EXHAUSTED from the engine before any part of
+/// a response.
 pub(super) fn outcome_of(status: &Status, response_started: bool) -> Outcome {
     let mut cause: Option<&(dyn Error + 'static)> = status.source();
     // A status with a source was created locally by the gRPC library, not sent by the engine.
     let is_local = cause.is_some();
     while let Some(error) = cause {
-        if error.is::<tonic::ConnectError>() {
-            return if response_started { Outcome::Reset } else { Outcome::ConnectFailed };
+        if let Some(error) = error.downcast_ref::<tonic::ConnectError>() {
+            return match response_started {
+                true => Outcome::Reset,
+                // It says nothing about the engine that its earlier connection has ended.
+                false if had_ended(error) => Outcome::NeverSent,
+                false => Outcome::ConnectFailed,
+            };
         }
         if error.is::<tonic::TimeoutExpired>() {
             return Outcome::TimedOut;
@@ -41,6 +48,19 @@
     }
 }
 
+/// Whether a call was made after its channel's only connection had ended.
+fn had_ended(error: &tonic::ConnectError) -> bool {
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        if error.downcast_ref::<std::io::Error>().is_some_and(|error| error.kind() == ErrorKind::NotConnected)
+        {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
 /// The engine's load report, if the metadata contains one.
 pub(super) fn load_report(metadata: &MetadataMap) -> Option<LoadReport> {
     meta::text(metadata, meta::LOAD).map(parse_load_report)
