Count small statements and what MySQL sessions send ahead as well

Cause: statements up to 8 KB and up to 16 KB sent ahead of an answer were not counted (session_slots.rs, session.rs), and a session that was closing kept its input for up to 0.5 s. Change: both count above 1 KB in the account of large statements; a closing session keeps no input. A call of Flight SQL may send 16 KB ahead in place of 64.

--- a/gateway/src/front/flight/mod.rs
+++ b/gateway/src/front/flight/mod.rs
@@ -37,6 +37,8 @@
 const MAX_HEAD_BYTES: u32 = 8 * 1024;
 /// Bytes of calls that a client may send on a connection before they are taken up.
 const WINDOW_BYTES: u32 = 64 * 1024;
+/// Bytes of one call that a client may send before they are taken up.
+const STREAM_WINDOW_BYTES: u32 = 16 * 1024;
 /// Share of the memory limit for the requests of all calls, and for the statements of unused tickets.
 const REQUESTS_SHARE: f64 = 0.1;
 /// Share of the memory for requests that the statements of unused tickets may hold.
@@ -112,7 +114,7 @@
     // Pings detect a dead peer, whose connection is then closed.
     server.timer(TokioTimer::new()).keep_alive_interval(PING_INTERVAL).max_concurrent_streams(MAX_STREAMS);
     server.max_header_list_size(MAX_HEAD_BYTES);
-    server.initial_connection_window_size(WINDOW_BYTES).initial_stream_window_size(WINDOW_BYTES);
+    server.initial_connection_window_size(WINDOW_BYTES).initial_stream_window_size(STREAM_WINDOW_BYTES);
     let connection = server.serve_connection(TokioIo::new(PacedStream::new(stream)), calls);
     let mut connection = pin!(connection);
     let result = tokio::select! {
--- a/gateway/src/front/mysql/session.rs
+++ b/gateway/src/front/mysql/session.rs
@@ -7,7 +7,7 @@
 use super::fields::{self, FieldsError};
 use super::packet::{self, Command, ProtocolError, Writer};
 use super::response::write_response;
-use super::session_slots::{SessionSlot, SessionState, StatementMemory};
+use super::session_slots::{SMALL_STATEMENT_BYTES, SessionSlot, SessionState, StatementMemory};
 use crate::broker::PendingResponse;
 use crate::front::sql;
 use crate::message::{Failure, Request, Response};
@@ -38,6 +38,8 @@
 /// Bytes that a client may send while its query runs. Unread bytes would hide a disconnect, so a client that sends more
 /// has its query failed and its connection closed.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+/// Step in which memory is reserved for bytes sent ahead.
+const READ_AHEAD_STEP_BYTES: usize = 4 * 1024;
 /// How long the session waits for the client to close its side. After that, unread bytes may cause a connection reset.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// An input buffer with more capacity than this is released while its session is idle.
@@ -81,6 +83,8 @@
     has_sent_command: bool,
     team: Arc<str>,
     input: BytesMut,
+    /// Memory reserved for the input that was sent ahead of an answer.
+    read_ahead_memory: Option<StatementMemory>,
     output: BytesMut,
 }
 
@@ -104,6 +108,7 @@
             has_sent_command: false,
             team: Arc::from(""),
             input: BytesMut::new(),
+            read_ahead_memory: None,
             output: BytesMut::new(),
         }
     }
@@ -111,6 +116,9 @@
     /// Serves the client until either side closes the connection or the process shuts down.
     pub async fn run(mut self, mut phase: watch::Receiver<Phase>) {
         let end = self.serve(&mut phase).await;
+        // Nothing of it is processed any more, and the connection may take some time to close.
+        self.input = BytesMut::new();
+        self.read_ahead_memory = None;
         if let Err(SessionEnd::ProtocolError(error)) = &end {
             Writer::new(&mut self.output, 1).error(1156, b"08S01", &error.to_string());
             let _ = self.flush(Instant::now() + RESPONSE_WRITE_TIMEOUT).await;
@@ -166,8 +174,11 @@
         } else {
             SessionState::Unproven(connected_at)
         });
-        if self.input.is_empty() && self.input.capacity() > MAX_IDLE_BUFFER_BYTES {
-            self.input = BytesMut::new();
+        if self.input.is_empty() {
+            self.read_ahead_memory = None;
+            if self.input.capacity() > MAX_IDLE_BUFFER_BYTES {
+                self.input = BytesMut::new();
+            }
         }
         // A client that connects during the shutdown gets time to send its first request.
         let open_until = if self.has_sent_command { connected_at } else { connected_at + LOGIN_TIMEOUT };
@@ -293,9 +304,7 @@
         let broker_on_other_core = self.front.cores.is_multicore();
         let kill_requests = self.registration.kill_requests.clone();
         loop {
-            if self.input.len() > MAX_READ_AHEAD_BYTES {
-                return Err(ProtocolError("too much sent ahead of the answer").into());
-            }
+            self.reserve_read_ahead()?;
             tokio::select! {
                 biased;
                 response = pending.response() => {
@@ -318,6 +327,25 @@
         }
     }
 
+    /// Reserves memory for what the client has sent ahead of the answer.
+    ///
+    /// # Errors
+    /// If it is too much, or if other sessions leave too little memory for it.
+    fn reserve_read_ahead(&mut self) -> Result<(), ProtocolError> {
+        const TOO_MUCH: ProtocolError = ProtocolError("too much sent ahead of the answer");
+        let size = self.input.len();
+        if size > MAX_READ_AHEAD_BYTES {
+            return Err(TOO_MUCH);
+        }
+        let reserved = self.read_ahead_memory.as_ref().map_or(SMALL_STATEMENT_BYTES, StatementMemory::bytes);
+        if size > reserved {
+            self.read_ahead_memory = None;
+            let memory = self.slot.reserve(size.next_multiple_of(READ_AHEAD_STEP_BYTES));
+            self.read_ahead_memory = Some(memory.ok_or(TOO_MUCH)?);
+        }
+        Ok(())
+    }
+
     /// Builds the request from a statement and its fields. Its timeout starts at `now`.
     fn read_request(&self, text: &Bytes, now: Instant) -> Result<Request, FieldsError> {
         let (fields, statement) = fields::take_fields(text)?;
--- a/gateway/src/front/mysql/session_slots.rs
+++ b/gateway/src/front/mysql/session_slots.rs
@@ -11,8 +11,9 @@
 const UNPROVEN_SHARE: f64 = 0.25;
 /// How far the sessions may exceed the limit while evicted ones are still closing.
 const MAX_EXCESS_SESSIONS: usize = 8;
-/// Statements up to this size do not count towards the memory that all sessions share.
-const SMALL_STATEMENT_BYTES: usize = 8 * 1024;
+/// Statements up to this size do not count towards the memory that all sessions share. Hundreds of sessions with one each
+/// take less than a megabyte.
+pub const SMALL_STATEMENT_BYTES: usize = 1024;
 
 /// The state of a session, which decides whether it may be evicted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -68,7 +69,7 @@
     pub evicted: Arc<Notify>,
 }
 
-/// Memory reserved for a statement, which is released on drop.
+/// Memory reserved for a statement or for bytes sent ahead, which is released on drop.
 #[derive(Debug)]
 pub struct StatementMemory {
     slots: Arc<SessionSlots>,
@@ -156,7 +157,7 @@
         self.slots.lock().set_state(self.id, state);
     }
 
-    /// Reserves memory for a statement of `size` bytes. Returns `None` if other large statements leave too little.
+    /// Reserves memory for a statement, or for bytes sent ahead, of this size. Returns `None` if other large statements leave too little.
     pub fn reserve(&self, size: usize) -> Option<StatementMemory> {
         let bytes = if size > SMALL_STATEMENT_BYTES { size } else { 0 };
         let mut table = self.slots.lock();
@@ -176,6 +177,13 @@
     }
 }
 
+impl StatementMemory {
+    /// The bytes reserved.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
 impl Drop for StatementMemory {
     fn drop(&mut self) {
         self.slots.lock().statement_bytes -= self.bytes;
--- a/gateway/tests/hostile_clients/incomplete_requests.rs
+++ b/gateway/tests/hostile_clients/incomplete_requests.rs
@@ -80,6 +80,23 @@
     site.assert_within_memory_limit();
 }
 
+/// Guards against the same when clients of both fronts do it at once: each front alone stayed below the limit.
+#[tokio::test]
+async fn incomplete_requests_on_both_fronts_stay_within_the_memory_limit() {
+    let site = Site::start(SMALL_MEMORY_MB).await;
+    let mut clients = proven_clients(&site).await;
+    for client in &mut clients {
+        client.send_query(&fields("statement", 8000, None, "HANG on")).await;
+    }
+    until("queries run", || site.test_bed.attempts("HANG on") > 0).await;
+    for client in &mut clients {
+        let _ = client.stream.write_all(&[0; 15 * 1024]).await;
+    }
+    let _connections = send_half_messages(&site).await;
+    sleep(SETTLE_TIME).await;
+    site.assert_within_memory_limit();
+}
+
 /// Guards against the same before the login is complete.
 #[tokio::test]
 async fn half_sent_logins_stay_within_the_memory_limit() {
@@ -116,10 +133,8 @@
     site.assert_serves_others(5).await;
 }
 
-/// Guards against the same with messages of which only a part arrives.
-#[tokio::test]
-async fn half_sent_flight_messages_stay_within_the_memory_limit() {
-    let site = Site::start(SMALL_MEMORY_MB).await;
+/// Sends a quarter of a message in each of many calls; returns the connections.
+async fn send_half_messages(site: &Site) -> Vec<Connection> {
     let open = (0..HOSTILE_FLIGHT_CONNECTIONS).map(|_| Connection::open(site.flight()));
     let mut connections = join_all(open).await;
     join_all(connections.iter_mut().map(|connection| async move {
@@ -132,6 +147,14 @@
         }
     }))
     .await;
+    connections
+}
+
+/// Guards against the same with messages of which only a part arrives.
+#[tokio::test]
+async fn half_sent_flight_messages_stay_within_the_memory_limit() {
+    let site = Site::start(SMALL_MEMORY_MB).await;
+    let _connections = send_half_messages(&site).await;
     sleep(SETTLE_TIME).await;
     site.assert_within_memory_limit();
     site.assert_serves_others(5).await;
