Send the report of a failed attempt to other gateways in three rounds

Cause: reports of a failed attempt were pushed once. Four eject the engine; then nobody else reports it, and a gateway that lost one of the four waits for its own failures. Change: all reports are pushed three times, as those of an ejection were.

--- a/gossip/src/node.rs
+++ b/gossip/src/node.rs
@@ -195,10 +195,8 @@
             self.counters.suppressed_reports += 1;
         } else if self.outliers.record_own_report(engine, kind, until, now) {
             self.counters.own_reports += 1;
-            if kind == FactKind::AttemptFailed {
-                self.push_rounds_left = self.push_rounds_left.max(1);
-            } else {
-                self.push_rounds_left = PUSH_ROUNDS;
+            self.push_rounds_left = PUSH_ROUNDS;
+            if kind != FactKind::AttemptFailed {
                 self.push_targets.clear();
             }
         }
--- a/gossip/tests/fleet.rs
+++ b/gossip/tests/fleet.rs
@@ -195,6 +195,27 @@
     }
 }
 
+/// Guards against an ejection that a lost datagram keeps from a gateway for seconds: the failed attempts of four gateways
+/// suffice to eject an engine, and once most have ejected it nobody else reports it.
+#[test]
+fn failed_attempts_of_few_gateways_reach_all_despite_losses() {
+    const ENGINE: EngineKey = EngineKey(7);
+    const REPORTERS: usize = 4;
+    let mut reached = 0;
+    for seed in 1..=10 {
+        let mut fleet = Fleet::new(20, 0.1, seed);
+        fleet.run(3_000);
+        let now_ms = fleet.now_ms;
+        for node in fleet.nodes.iter_mut().take(REPORTERS).flatten() {
+            node.report_outlier(ENGINE, FactKind::AttemptFailed, now_ms, now_ms);
+        }
+        fleet.run(1_000);
+        reached += fleet.ejected_count(ENGINE);
+    }
+    println!("{reached} of 160 gateways reached within a second");
+    assert!(reached >= 158, "{reached} of 160 gateways reached");
+}
+
 /// The restarted engine in [`observations_spread_at_any_fleet_size`], and the slow one.
 const RESTARTED: EngineKey = EngineKey(3);
 const SLOW: EngineKey = EngineKey(5);
