Take 32 KB in a row for a backlog on a Flight SQL connection

Cause, concluded from reading: only the end of a turn (16 reads, 128 KB) counted as a backlog. The system's first window is 64 KB, so the socket can be empty before, and the calls were passed on although the rest was still to come. Change: 32 KB without an empty socket are a backlog, and what came while the process did not run is read before the connection counts as quiet.

--- a/gateway/src/front/flight/paced_stream.rs
+++ b/gateway/src/front/flight/paced_stream.rs
@@ -16,6 +16,9 @@
 /// Reads and writes in a turn.
 const MAX_OPERATIONS_PER_TURN: u32 = 16;
 
+/// Bytes read in a row that count as a backlog, although nothing is left then: what is behind them may not have fitted into
+/// the socket.
+const BACKLOG_BYTES: u64 = 32 * 1024;
 /// Time in which hardly anything may come after a backlog until the connection counts as drained.
 const QUIET_TIME: Duration = Duration::from_millis(10);
 /// Bytes that may come in that time: those of ordinary requests on a busy connection.
@@ -27,7 +30,9 @@
     bytes_read: AtomicU64,
     /// Whether nothing was left to read at the last attempt, nor had the peer closed its side.
     is_drained: AtomicBool,
-    /// Whether a turn has ended with more left to read, and the connection has not been quiet since.
+    /// Bytes read since nothing was left to read.
+    bytes_in_a_row: AtomicU64,
+    /// Whether there was a backlog, and the connection has not been quiet since.
     has_backlog: AtomicBool,
     /// Notified when the connection has been drained, and at the end of each turn.
     changed: Notify,
@@ -63,6 +68,8 @@
     /// bytes that did not fit into the socket.
     async fn stays_quiet(&self, bytes_read: u64) -> bool {
         sleep(QUIET_TIME).await;
+        // If the process did not run meanwhile, what has come is only read after the timer has expired.
+        yield_now().await;
         let is_quiet = self.bytes_read.load(Ordering::Relaxed) - bytes_read <= MAX_QUIET_BYTES;
         if is_quiet {
             self.has_backlog.store(false, Ordering::Relaxed);
@@ -71,17 +78,21 @@
     }
 
     fn record_read(&self, bytes: usize) {
-        self.bytes_read.fetch_add(bytes as u64, Ordering::Relaxed);
+        let bytes = bytes as u64;
+        self.bytes_read.fetch_add(bytes, Ordering::Relaxed);
         self.is_drained.store(false, Ordering::Relaxed);
+        if self.bytes_in_a_row.fetch_add(bytes, Ordering::Relaxed) + bytes >= BACKLOG_BYTES {
+            self.has_backlog.store(true, Ordering::Relaxed);
+        }
     }
 
-    fn record_backlog(&self) {
-        self.has_backlog.store(true, Ordering::Relaxed);
+    fn record_end_of_turn(&self) {
         self.changed.notify_waiters();
     }
 
     fn record_drained(&self) {
         self.is_drained.store(true, Ordering::Relaxed);
+        self.bytes_in_a_row.store(0, Ordering::Relaxed);
         self.changed.notify_waiters();
     }
 }
@@ -106,7 +117,7 @@
         if self.operations >= MAX_OPERATIONS_PER_TURN {
             self.operations = 0;
             self.next_turn = Some(Box::pin(yield_now()));
-            self.progress.record_backlog();
+            self.progress.record_end_of_turn();
         }
         if let Some(next_turn) = &mut self.next_turn {
             ready!(next_turn.as_mut().poll(context));
@@ -175,3 +186,6 @@
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
+
+#[cfg(test)]
+mod tests;
