--- a/gateway/src/front/flight/calls.rs
+++ b/gateway/src/front/flight/calls.rs
@@ -3,6 +3,7 @@
 //! message, also those that are streams in gRPC.
 
 use super::paced_stream::{ReadProgress, TooMuchUnread};
+use super::result::shed_status;
 use super::service::Service;
 use crate::request_memory::{MemoryReservation, RequestMemory};
 use arrow_flight::flight_service_server::FlightServiceServer;
@@ -56,12 +57,12 @@
     async fn run(mut self, request: Request<Incoming>) -> Result<Response<Body>, Status> {
         let (head, mut body) = request.into_parts();
         let memory = self.memory.reserve(head_bytes(&head.headers));
-        let mut memory = memory.ok_or_else(out_of_room)?;
+        let mut memory = memory.ok_or_else(shed_status)?;
         let message = timeout(REQUEST_TIMEOUT, self.read_message(&mut body, &mut memory)).await;
         let message = message.map_err(|_| Status::deadline_exceeded("the request was not completed"))??;
         let drained = self.progress.drained(MAX_BYTES_AFTER_REQUEST as u64);
-        let drained = timeout(REQUEST_TIMEOUT, drained).await.map_err(|_| out_of_room())?;
-        drained.map_err(|TooMuchUnread| out_of_room())?;
+        let drained = timeout(REQUEST_TIMEOUT, drained).await.map_err(|_| shed_status())?;
+        drained.map_err(|TooMuchUnread| shed_status())?;
         let request = Request::from_parts(head, Body::new(Full::new(message)));
         let response = self.server.call(request);
         tokio::select! {
@@ -84,7 +85,7 @@
                 break;
             };
             if !memory.grow(data.len()) {
-                return Err(out_of_room());
+                return Err(shed_status());
             }
             message.extend_from_slice(&data);
             message.reserve(self.needed_bytes(&message).saturating_sub(message.len()));
@@ -119,11 +120,6 @@
     CALL_OVERHEAD_BYTES + fields.sum::<usize>()
 }
 
-/// The rejection of a call for which there is no memory, or behind which too much is unread.
-fn out_of_room() -> Status {
-    super::result::shed_status()
-}
-
 /// Discards what follows the request. Returns an error if it is too much; otherwise waits for ever.
 async fn discard_rest(body: &mut Incoming) -> Status {
     let (mut frames, mut bytes) = (0, 0);
--- a/gateway/src/front/flight/service.rs
+++ b/gateway/src/front/flight/service.rs
@@ -190,7 +190,7 @@
         request: Request<Ticket>,
     ) -> Result<Response<<Self as FlightService>::DoGetStream>, Status> {
         // A ticket is valid for one DoGet, so that a duplicate call can't execute the statement again.
-        let statement = self.tickets.take(&ticket.statement_handle);
+        let statement = self.tickets.take(&ticket.statement_handle, Instant::now());
         let statement = statement.ok_or_else(|| Status::invalid_argument("the ticket is unknown or used"))?;
         // The reservation is held until the statement has been executed.
         let Statement { header, text, memory: _memory } = statement;
--- a/gateway/src/front/flight/ticket.rs
+++ b/gateway/src/front/flight/ticket.rs
@@ -94,7 +94,7 @@
         handle
     }
 
-    fn has_room(&self, bytes: usize, max_bytes: usize) -> bool {
+    fn fits(&self, bytes: usize, max_bytes: usize) -> bool {
         self.by_handle.len() < MAX_TICKETS && self.bytes + bytes <= max_bytes
     }
 
@@ -142,7 +142,7 @@
     ) -> Option<TicketHandle> {
         let mut table = self.lock();
         table.remove_expired(now);
-        while !table.has_room(statement.memory.bytes(), self.max_bytes) {
+        while !table.fits(statement.memory.bytes(), self.max_bytes) {
             if !table.evict_for(owner) {
                 return None;
             }
@@ -151,9 +151,11 @@
     }
 
     /// Removes and returns the statement of a ticket, or `None` if the ticket is unknown, expired or already used.
-    pub fn take(&self, handle: &[u8]) -> Option<Statement> {
+    pub fn take(&self, handle: &[u8], now: Instant) -> Option<Statement> {
         let handle = TicketHandle::try_from(handle).ok()?;
-        self.lock().remove(&handle)
+        let mut table = self.lock();
+        table.remove_expired(now);
+        table.remove(&handle)
     }
 }
 
--- a/gateway/src/request_memory/tests.rs
+++ b/gateway/src/request_memory/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 #[test]
-fn large_requests_leave_room_for_small_ones() {
+fn large_requests_do_not_exhaust_the_account() {
     let account = Arc::new(RequestMemory::new(10_000));
     assert!(account.reserve(9_000).is_some() && account.reserve(10_001).is_none(), "alone it takes all");
     let one = account.reserve(1).unwrap();
--- a/gateway/tests/hostile_clients/departed_clients.rs
+++ b/gateway/tests/hostile_clients/departed_clients.rs
@@ -49,10 +49,10 @@
 }
 
 /// Asserts that no attempt began later than it may after the client has gone; returns how many began in all.
-async fn assert_none_sent_on(site: &Site, gone_at: Instant, context: &str) {
+async fn assert_none_sent_on(site: &Site, disconnected_at: Instant, context: &str) {
     sleep(Duration::from_millis(600)).await;
     let received = std::mem::take(&mut site.test_bed.0.lock().unwrap().received);
-    let limit = gone_at + MAX_DELAY + SOCKET_SLACK;
+    let limit = disconnected_at + MAX_DELAY + SOCKET_SLACK;
     let late: Vec<_> = received.iter().filter(|attempt| attempt.at > limit).collect();
     println!("{context}: {} attempts, {} late", received.len(), late.len());
     assert!(
@@ -132,10 +132,10 @@
     site.process.signal("-STOP");
     let sent = stream.try_write(bytes).unwrap();
     let _open = end(stream, how).await;
-    let gone_at = Instant::now();
+    let disconnected_at = Instant::now();
     sleep(PAUSE).await;
     site.process.signal("-CONT");
-    assert_none_sent_on(site, gone_at, &format!("{how:?} after {sent} bytes, {context}")).await;
+    assert_none_sent_on(site, disconnected_at, &format!("{how:?} after {sent} bytes, {context}")).await;
 }
 
 /// Guards against calls that are found unread long after their client has gone, before much else that is unread too.
--- a/gateway/tests/hostile_clients/flood.rs
+++ b/gateway/tests/hostile_clients/flood.rs
@@ -1,5 +1,5 @@
 //! One client that sends small or invalid requests on one connection at full speed: others get their answers in time,
-//! and no name that it sends leaves anything behind.
+//! and no name that it sends uses memory afterwards.
 
 use super::Site;
 use super::http2::{self, Connection, DO_PUT, GET_FLIGHT_INFO};
@@ -56,7 +56,7 @@
     })
 }
 
-/// Asserts that a hostile client delays no ordinary ones, and leaves no memory behind.
+/// Asserts that a hostile client delays no ordinary ones, and that its requests use no memory afterwards.
 async fn assert_harmless<F: Future<Output = ()>>(site: &Site, client: impl FnOnce() -> F + Send + 'static) {
     let _one_flood = ONE_FLOOD.lock().await;
     site.assert_serves_others(REQUESTS).await;
@@ -103,7 +103,7 @@
 
 /// Guards against the same with statements whose fields are not valid, under ever new names.
 #[tokio::test]
-async fn unknown_classes_leave_nothing_behind() {
+async fn unknown_classes_use_no_memory() {
     let site = Site::start(48).await;
     let batch = |number: u64| {
         let one =
@@ -150,7 +150,7 @@
 
 /// Guards against the same with repeated logins under ever new user names.
 #[tokio::test]
-async fn unknown_users_leave_nothing_behind() {
+async fn unknown_users_use_no_memory() {
     let site = Site::start(48).await;
     let address = site.process.mysql;
     let client = move || async move {
@@ -217,7 +217,7 @@
 
 /// Guards against the same with calls of methods that do not exist, under ever new names.
 #[tokio::test]
-async fn unknown_methods_leave_nothing_behind() {
+async fn unknown_methods_use_no_memory() {
     let site = Site::start(48).await;
     let batch = |number: u64| {
         let call = |stream| {
